--- a/apps/pollenspokectl/printing.h
+++ b/apps/pollenspokectl/printing.h
@@ -3,7 +3,7 @@
 #pragma once
 
 #include <iosfwd>
-#include <pollenspoke/platform.h>
+#include <pollenspoke/store.h>
 
 namespace Pollenspoke {
 
--- a/packages/policy/include/pollenspoke/policy.h
+++ b/packages/policy/include/pollenspoke/policy.h
@@ -4,12 +4,14 @@
 ///
 /// Index of this file:
 /// - [1] Rate and burst on one Vm  (TokenBucket)
-/// - [2] Choice of a target        (TargetLoad, chooseTarget())
-/// - [3] Attempts                  (AttemptPlan, attemptTimeout(), connectTimeout(), isIdempotentMethod())
+/// - [2] Choice of a target        (TargetLoad, chooseTarget(), chooseService())
+/// - [3] Attempts                  (AttemptPlan, attemptTimeout(), connectTimeout(), queueTime(), isIdempotentMethod())
 /// - [4] Choice of Vms for callers (homeScore(), orderAddresses())
 /// - [5] Health of targets         (ServiceHealth, HealthOptions, HealthSummary)
 /// - [6] Membership and freshness  (Membership, decideFreshness())
 /// - [7] Rate and burst across the fleet (QuotaOptions, QuotaEvent, QuotaCommand, QuotaLedger)
+/// - [8] Balancing of one service  (AttemptEnd, BalancerOptions, TargetNews, ServiceBalancer)
+/// - [9] Repeats of one service    (RetryBudgetOptions, RetryBudget)
 ///
 /// Example:
 /// @code
@@ -25,6 +27,7 @@
 #include <pollenspoke/resources.h>
 #include <random>
 #include <set>
+#include <span>
 
 namespace Pollenspoke {
 
@@ -72,6 +75,9 @@
 /// Targets already tried are taken only when no other is left. Nothing: no target may take work.
 std::optional<std::size_t> chooseTarget(const std::vector<TargetLoad> &loads, const FailureDomain &local, Generator &generator);
 
+/// The service that takes a request of the route: always the same one for one id, and over many ids by weight.
+ServiceName chooseService(const Route &route, std::string_view requestId);
+
 //-----------------------------------------------------------------------------
 // [3] Attempts
 //-----------------------------------------------------------------------------
@@ -85,6 +91,7 @@
     std::uint32_t attempt = 1;     // 1-based
     std::uint32_t maxAttempts = 1; // of the route
     TimePoint deadline;            // of the whole request
+    Duration patience = Duration::max(); // longest attempt while another may follow
 };
 
 /// Time that this attempt may take: all that is left on the last one, half of it before, so that a silent target leaves
@@ -94,6 +101,10 @@
 /// Time that opening a connection may take: at most `longest`, and half of what is left unless this is the last attempt.
 Duration connectTimeout(const AttemptPlan &plan, Duration longest, TimePoint now);
 
+/// Time that a request may wait for a slot: what its objective leaves beside the usual latency, at least an eighth of the
+/// objective, and never so long that the answer would miss the deadline.
+Duration queueTime(Duration objective, Duration left, Duration usualLatency);
+
 //-----------------------------------------------------------------------------
 // [4] Choice of Vms for callers
 //-----------------------------------------------------------------------------
@@ -640,4 +651,159 @@
     std::set<AccountName> m_waiting; // accounts with requests that wait
 };
 
+//-----------------------------------------------------------------------------
+// [8] Balancing of one service
+//-----------------------------------------------------------------------------
+// Gray targets answer their health checks, so only the outcomes of requests count. One failure pauses a target for a short
+// time: a few failures are common to a failing target and rare at a sound one, and a pause of a sound target costs little.
+
+/// How one attempt at a target ended.
+enum class AttemptEnd {
+    Answered,    // with a whole answer
+    Failed,      // with a failure of its own, an answer cut off, or bytes that are no answer
+    Declined,    // it said that it did not run the request
+    Misdirected, // another target has the address
+    Unreachable, // no connection
+    Silent,      // no answer in time
+    Abandoned,   // the caller left: no evidence
+};
+
+struct BalancerOptions
+{
+    Duration firstPause = std::chrono::milliseconds(2000);    // without work after a failure
+    Duration longestPause = std::chrono::milliseconds(5000);  // after failures in a row, each pause is longer by half
+    Duration declinePause = std::chrono::milliseconds(150);   // after a target declined: its queue is full
+    Duration firstLatency = std::chrono::milliseconds(200);   // assumed before anything is known of a service
+    Duration memory = std::chrono::seconds(5);                // half-life of a target's own latency towards that of its service
+    Duration newsTerm = std::chrono::milliseconds(1500);      // other Vms' news count for so long
+    double staleFactor = 4;                                   // a request open for so many usual latencies marks its target doubtful
+    double distanceFactor = 1.25;                             // a target in another failure domain counts as so much slower
+    double coldFactor = 2;                                    // a target that warms up counts as so much slower
+    std::uint32_t candidates = 3;                             // drawn at random for each choice
+    std::uint32_t floorPercent = 50;                          // of the serving targets stay in the choice whatever their failures
+    std::uint32_t pathWitnesses = 2;                          // other Vms that must miss a target before it is paused here
+    auto operator<=>(const BalancerOptions &) const = default;
+};
+
+/// What one Vm tells the others of one target.
+struct TargetNews
+{
+    TargetName target;
+    std::uint32_t inFlight = 0;    // requests of that Vm that it works on
+    Duration failurePause{0};      // left of a pause because of failures
+    Duration unreachablePause{0};  // left of a pause because it can't be reached or is silent, which may be the Vm's own fault
+    auto operator<=>(const TargetNews &) const = default;
+};
+
+/// A pause that began, for logs.
+struct TargetPause
+{
+    TargetName target;
+    AttemptEnd cause = AttemptEnd::Failed;
+    Duration length{0};
+    std::uint32_t failures = 0; // in a row
+};
+
+struct ChoiceRequest
+{
+    std::span<const TargetName> tried; // not again, unless no other is left
+    FailureDomain local;               // of this Vm
+    std::uint32_t overcommit = 0;      // requests beyond its slots that a target may hold
+    std::uint32_t limit = 1000;        // requests of this Vm at one target
+};
+
+/// Chooses targets of one service and learns from how attempts end.
+class ServiceBalancer
+{
+public:
+    explicit ServiceBalancer(BalancerOptions options = {});
+
+    void setTargets(const std::vector<Target> &targets, TimePoint now); // keeps what is known of those that stay
+    void observeNews(const VmName &vm, const std::vector<TargetNews> &news, TimePoint now); // replaces that Vm's earlier news
+    std::vector<TargetNews> news(TimePoint now) const;                  // of targets with work or a pause
+
+    /// Takes a place at the target chosen. Nothing: none has a free slot.
+    std::optional<Target> choose(const ChoiceRequest &request, TimePoint now, Generator &generator);
+    std::optional<TargetPause> end(const TargetName &target, AttemptEnd end, Duration latency, TimePoint startedAt, TimePoint now);
+
+    Duration usualLatency() const; // of whole answers
+    std::uint32_t openAt(const TargetName &target) const; // requests of this Vm
+    std::uint32_t freeSlots(TimePoint now) const;   // of targets that may get work
+    std::uint32_t usableSlots(TimePoint now) const; // the same with those taken
+    bool hasServingTarget() const;
+
+private:
+    struct Remote
+    {
+        std::uint32_t inFlight = 0;
+        TimePoint failureUntil;
+        TimePoint unreachableUntil;
+        TimePoint expiresAt;
+    };
+    struct Member
+    {
+        Target target;
+        TimePoint warmUntil;
+        std::vector<TimePoint> open; // start of each request of this Vm
+        std::map<VmName, Remote> remotes;
+        TimePoint failureUntil;
+        TimePoint unreachableUntil;
+        TimePoint declinedUntil;
+        std::uint32_t failures = 0; // in a row
+        bool isOnTrial = false;     // one request at a time until one is answered
+        double latency = 0;         // moving average of whole answers, ns; 0: unknown
+        TimePoint answeredAt;       // of the newest of them
+    };
+
+    Member *find(const TargetName &name);
+    std::uint32_t inFlight(const Member &member, TimePoint now) const;
+    TimePoint pausedUntil(const Member &member, TimePoint now) const;
+    bool isDoubtful(const Member &member, TimePoint now) const;
+    bool hasRoom(const Member &member, const ChoiceRequest &request, TimePoint now) const;
+    double expectedLatency(const Member &member, TimePoint now) const;
+    double score(const Member &member, const ChoiceRequest &request, TimePoint now) const;
+    TimePoint floorTime(TimePoint now) const;
+    std::vector<Member *> candidates(const ChoiceRequest &request, TimePoint now, bool takesDoubtful);
+    void startPause(Member &member, TimePoint &until, TimePoint now);
+
+    BalancerOptions m_options;
+    std::vector<Member> m_members;
+    double m_latency = 0; // moving average over all targets, ns; 0: unknown
+};
+
+//-----------------------------------------------------------------------------
+// [9] Repeats of one service
+//-----------------------------------------------------------------------------
+
+/// Of a service, over all Vms together.
+struct RetryBudgetOptions
+{
+    double ratio = 0.2;                         // repeats for each first request in a window
+    double reserve = 10;                        // repeats in a window besides
+    Duration window = std::chrono::seconds(10); //
+    auto operator<=>(const RetryBudgetOptions &) const = default;
+};
+
+/// One Vm's part of the budget. In any window the repeats of all Vms stay within ratio * requests + reserve, also when every
+/// Vm restarts once within it.
+class RetryBudget
+{
+public:
+    explicit RetryBudget(RetryBudgetOptions options = {});
+
+    void setShare(double share); // of the reserve, that this Vm may use; 0 to 1
+    void noteRequest();          // a first request
+    bool takeRepeat();           // false: none left
+    double left() const { return m_tokens; }
+    void refill(TimePoint now);  // at any time; the reserve comes back over a window
+
+private:
+    double capacity() const;
+
+    RetryBudgetOptions m_options;
+    double m_share = 1;
+    double m_tokens = 0;
+    std::optional<TimePoint> m_refilledAt;
+};
+
 } // namespace Pollenspoke
--- a/packages/policy/src/attempts.cpp
+++ b/packages/policy/src/attempts.cpp
@@ -23,7 +23,8 @@
 {
     const Duration left = timeLeft(plan, now);
     const bool isLast = !plan.isIdempotent || plan.attempt >= plan.maxAttempts;
-    return isLast && !isPooled ? left : left / 2;
+    const Duration longest = isLast && !isPooled ? left : left / 2;
+    return isLast ? longest : std::min(longest, plan.patience);
 }
 
 Duration connectTimeout(const AttemptPlan &plan, Duration longest, TimePoint now)
@@ -32,4 +33,12 @@
     return std::min(longest, plan.attempt >= plan.maxAttempts ? left : left / 2);
 }
 
+Duration queueTime(Duration objective, Duration left, Duration usualLatency)
+{
+    constexpr int smallestPart = 8; // of the objective
+    const Duration wanted = objective > Duration::zero() ? objective : left / 2;
+    const Duration forObjective = std::max(wanted - usualLatency * 3 / 2, wanted / smallestPart);
+    return std::clamp(left - usualLatency, Duration::zero(), forObjective);
+}
+
 } // namespace Pollenspoke
--- /dev/null
+++ b/packages/policy/src/balancer.cpp
@@ -0,0 +1,304 @@
+#include <algorithm>
+#include <cmath>
+#include <pollenspoke/policy.h>
+
+namespace Pollenspoke {
+
+namespace {
+
+constexpr double latencyWeight = 0.2;         // of the newest answer in a target's moving average
+constexpr double serviceLatencyWeight = 0.05; // of the newest answer in the service's moving average
+constexpr double pauseGrowth = 1.5;           // of each pause over the one before
+constexpr std::uint32_t trialSlots = 1;       // requests that a target on trial may hold
+constexpr double jitter = 0.1;                // largest random part of a score, so that Vms with equal views choose differently
+
+double movingAverage(double average, double value, double weight)
+{
+    return average <= 0 ? value : average + weight * (value - average);
+}
+
+} // namespace
+
+ServiceBalancer::ServiceBalancer(BalancerOptions options)
+    : m_options(options)
+{
+}
+
+ServiceBalancer::Member *ServiceBalancer::find(const TargetName &name)
+{
+    const auto it = std::find_if(m_members.begin(), m_members.end(), [&name](const Member &member) { return member.target.name == name; });
+    return it == m_members.end() ? nullptr : &*it;
+}
+
+void ServiceBalancer::setTargets(const std::vector<Target> &targets, TimePoint now)
+{
+    std::vector<Member> members;
+    members.reserve(targets.size());
+    for (const Target &it : targets) {
+        Member *known = find(it.name);
+        Member member = known != nullptr && known->target.address == it.address ? std::move(*known) : Member();
+        if (member.target.name != it.name || member.target.warmupMs != it.warmupMs) {
+            member.warmUntil = now + std::chrono::milliseconds(it.warmupMs);
+        }
+        member.target = it;
+        members.push_back(std::move(member));
+    }
+    m_members = std::move(members);
+}
+
+void ServiceBalancer::observeNews(const VmName &vm, const std::vector<TargetNews> &news, TimePoint now)
+{
+    for (Member &it : m_members) {
+        it.remotes.erase(vm);
+    }
+    for (const TargetNews &it : news) {
+        if (Member *member = find(it.target)) {
+            member->isOnTrial = member->isOnTrial || it.failurePause > Duration(0);
+            member->remotes[vm] = Remote{.inFlight = it.inFlight,
+                                         .failureUntil = now + std::min(it.failurePause, m_options.longestPause),
+                                         .unreachableUntil = now + std::min(it.unreachablePause, m_options.longestPause),
+                                         .expiresAt = now + m_options.newsTerm};
+        }
+    }
+}
+
+std::vector<TargetNews> ServiceBalancer::news(TimePoint now) const
+{
+    std::vector<TargetNews> news;
+    for (const Member &it : m_members) {
+        const Duration failurePause = std::max(it.failureUntil - now, Duration(0));
+        const Duration unreachablePause = std::max(it.unreachableUntil - now, Duration(0));
+        if (!it.open.empty() || failurePause > Duration(0) || unreachablePause > Duration(0)) {
+            news.push_back(TargetNews{.target = it.target.name,
+                                      .inFlight = static_cast<std::uint32_t>(it.open.size()),
+                                      .failurePause = failurePause,
+                                      .unreachablePause = unreachablePause});
+        }
+    }
+    return news;
+}
+
+std::uint32_t ServiceBalancer::inFlight(const Member &member, TimePoint now) const
+{
+    auto n = static_cast<std::uint32_t>(member.open.size());
+    for (const auto &[vm, remote] : member.remotes) {
+        n += remote.expiresAt > now ? remote.inFlight : 0;
+    }
+    return n;
+}
+
+// When the target may get work again; a time in the past when it may now.
+TimePoint ServiceBalancer::pausedUntil(const Member &member, TimePoint now) const
+{
+    TimePoint until = std::max({member.failureUntil, member.unreachableUntil, member.declinedUntil});
+    std::uint32_t witnesses = 0;
+    TimePoint missedUntil;
+    for (const auto &[vm, remote] : member.remotes) {
+        if (remote.failureUntil > now) {
+            until = std::max(until, remote.failureUntil);
+        }
+        if (remote.unreachableUntil > now) {
+            ++witnesses;
+            missedUntil = std::max(missedUntil, remote.unreachableUntil);
+        }
+    }
+    return witnesses >= m_options.pathWitnesses ? std::max(until, missedUntil) : until;
+}
+
+// A request that has been open for much longer than usual: the target may be stuck, or only slow.
+bool ServiceBalancer::isDoubtful(const Member &member, TimePoint now) const
+{
+    const Duration limit = std::chrono::duration_cast<Duration>(usualLatency() * m_options.staleFactor);
+    return std::any_of(member.open.begin(), member.open.end(), [now, limit](TimePoint startedAt) { return now - startedAt > limit; });
+}
+
+bool ServiceBalancer::hasRoom(const Member &member, const ChoiceRequest &request, TimePoint now) const
+{
+    if (member.open.size() >= request.limit) {
+        return false;
+    }
+    return inFlight(member, now) < (member.isOnTrial ? trialSlots : member.target.slots + request.overcommit);
+}
+
+// What is known of a target fades, so that one that was slow once is tried again; one of which nothing is known counts as
+// one of the fastest, so that it is tried at all.
+double ServiceBalancer::expectedLatency(const Member &member, TimePoint now) const
+{
+    const auto usual = static_cast<double>(usualLatency().count());
+    if (member.latency > 0) {
+        const double halfLives = std::chrono::duration<double>(now - member.answeredAt) / std::chrono::duration<double>(m_options.memory);
+        return usual + (member.latency - usual) * std::exp2(-halfLives);
+    }
+    double fastest = usual;
+    for (const Member &it : m_members) {
+        fastest = it.latency > 0 ? std::min(fastest, it.latency) : fastest;
+    }
+    return fastest;
+}
+
+// Expected time to an answer, ns.
+double ServiceBalancer::score(const Member &member, const ChoiceRequest &request, TimePoint now) const
+{
+    double latency = expectedLatency(member, now);
+    for (const TimePoint it : member.open) {
+        latency = std::max(latency, static_cast<double>((now - it).count()));
+    }
+    if (member.warmUntil > now) {
+        latency *= m_options.coldFactor;
+    }
+    if (member.target.failureDomain != request.local) {
+        latency *= m_options.distanceFactor;
+    }
+    return latency * (1.0 + inFlight(member, now) / static_cast<double>(member.target.slots));
+}
+
+// Targets whose pause ends by this time stay in the choice, so that the floor holds.
+TimePoint ServiceBalancer::floorTime(TimePoint now) const
+{
+    std::vector<TimePoint> pauses;
+    for (const Member &it : m_members) {
+        if (it.target.state == TargetState::Serving) {
+            pauses.push_back(pausedUntil(it, now));
+        }
+    }
+    if (pauses.empty()) {
+        return now;
+    }
+    const std::size_t kept = std::max<std::size_t>(1, (pauses.size() * m_options.floorPercent + 99) / 100);
+    const auto last = pauses.begin() + static_cast<std::ptrdiff_t>(kept) - 1;
+    std::nth_element(pauses.begin(), last, pauses.end());
+    return std::max(*last, now);
+}
+
+std::vector<ServiceBalancer::Member *> ServiceBalancer::candidates(const ChoiceRequest &request, TimePoint now, bool takesDoubtful)
+{
+    const TimePoint keptUntil = floorTime(now);
+    std::vector<Member *> found;
+    std::vector<Member *> triedBefore;
+    for (Member &it : m_members) {
+        const bool mayWork = it.target.state == TargetState::Serving && pausedUntil(it, now) <= keptUntil;
+        if (!mayWork || !hasRoom(it, request, now) || (!takesDoubtful && isDoubtful(it, now))) {
+            continue;
+        }
+        const bool isTried = std::find(request.tried.begin(), request.tried.end(), it.target.name) != request.tried.end();
+        (isTried ? triedBefore : found).push_back(&it);
+    }
+    return found.empty() ? triedBefore : found;
+}
+
+std::optional<Target> ServiceBalancer::choose(const ChoiceRequest &request, TimePoint now, Generator &generator)
+{
+    std::vector<Member *> found = candidates(request, now, false);
+    if (found.empty()) {
+        found = candidates(request, now, true);
+    }
+    if (found.empty()) {
+        return std::nullopt;
+    }
+    const std::size_t n = std::min<std::size_t>(m_options.candidates, found.size());
+    Member *best = nullptr;
+    double bestScore = 0;
+    std::uniform_real_distribution<double> noise(1.0, 1.0 + jitter);
+    for (std::size_t i = 0; i < n; ++i) {
+        std::uniform_int_distribution<std::size_t> draw(i, found.size() - 1);
+        std::swap(found[i], found[draw(generator)]);
+        const double itsScore = score(*found[i], request, now) * noise(generator);
+        if (best == nullptr || itsScore < bestScore) {
+            best = found[i];
+            bestScore = itsScore;
+        }
+    }
+    best->open.push_back(now);
+    return best->target;
+}
+
+void ServiceBalancer::startPause(Member &member, TimePoint &until, TimePoint now)
+{
+    double factor = 1;
+    for (std::uint32_t i = 0; i < member.failures && factor < 100; ++i) {
+        factor *= pauseGrowth;
+    }
+    ++member.failures;
+    const auto length = std::chrono::duration_cast<Duration>(m_options.firstPause * factor);
+    until = now + std::min(length, m_options.longestPause);
+    member.isOnTrial = true;
+}
+
+std::optional<TargetPause>
+ServiceBalancer::end(const TargetName &target, AttemptEnd end, Duration latency, TimePoint startedAt, TimePoint now)
+{
+    Member *member = find(target);
+    if (member == nullptr) {
+        return std::nullopt;
+    }
+    const auto open = std::find(member->open.begin(), member->open.end(), startedAt);
+    if (open != member->open.end()) {
+        member->open.erase(open);
+    }
+    switch (end) {
+    case AttemptEnd::Answered:
+        member->failures = 0;
+        member->isOnTrial = false;
+        member->answeredAt = now;
+        member->latency = movingAverage(member->latency, static_cast<double>(latency.count()), latencyWeight);
+        m_latency = movingAverage(m_latency, static_cast<double>(latency.count()), serviceLatencyWeight);
+        return std::nullopt;
+    case AttemptEnd::Abandoned:
+        return std::nullopt;
+    case AttemptEnd::Declined:
+        member->declinedUntil = now + m_options.declinePause;
+        return std::nullopt;
+    case AttemptEnd::Failed:
+        startPause(*member, member->failureUntil, now);
+        return TargetPause{.target = target, .cause = end, .length = member->failureUntil - now, .failures = member->failures};
+    case AttemptEnd::Misdirected:
+    case AttemptEnd::Unreachable:
+    case AttemptEnd::Silent:
+        startPause(*member, member->unreachableUntil, now);
+        return TargetPause{.target = target, .cause = end, .length = member->unreachableUntil - now, .failures = member->failures};
+    }
+    return std::nullopt;
+}
+
+Duration ServiceBalancer::usualLatency() const
+{
+    return m_latency > 0 ? Duration(static_cast<std::int64_t>(m_latency)) : m_options.firstLatency;
+}
+
+std::uint32_t ServiceBalancer::openAt(const TargetName &target) const
+{
+    const auto it = std::find_if(m_members.begin(), m_members.end(), [&target](const Member &member) { return member.target.name == target; });
+    return it == m_members.end() ? 0 : static_cast<std::uint32_t>(it->open.size());
+}
+
+std::uint32_t ServiceBalancer::usableSlots(TimePoint now) const
+{
+    const TimePoint keptUntil = floorTime(now);
+    std::uint32_t n = 0;
+    for (const Member &it : m_members) {
+        if (it.target.state == TargetState::Serving && pausedUntil(it, now) <= keptUntil) {
+            n += it.isOnTrial ? trialSlots : it.target.slots;
+        }
+    }
+    return n;
+}
+
+std::uint32_t ServiceBalancer::freeSlots(TimePoint now) const
+{
+    const TimePoint keptUntil = floorTime(now);
+    std::uint32_t n = 0;
+    for (const Member &it : m_members) {
+        if (it.target.state == TargetState::Serving && pausedUntil(it, now) <= keptUntil) {
+            const std::uint32_t slots = it.isOnTrial ? trialSlots : it.target.slots;
+            n += slots - std::min(slots, inFlight(it, now));
+        }
+    }
+    return n;
+}
+
+bool ServiceBalancer::hasServingTarget() const
+{
+    return std::any_of(m_members.begin(), m_members.end(), [](const Member &it) { return it.target.state == TargetState::Serving; });
+}
+
+} // namespace Pollenspoke
--- a/packages/policy/src/target_choice.cpp
+++ b/packages/policy/src/target_choice.cpp
@@ -54,4 +54,24 @@
     return takeSecond ? candidates[second] : candidates[first];
 }
 
+ServiceName chooseService(const Route &route, std::string_view requestId)
+{
+    double total = 0;
+    for (const ServiceShare &it : route.split) {
+        total += it.weight;
+    }
+    if (total <= 0) {
+        return route.split.empty() ? route.service : route.split.front().service;
+    }
+    constexpr double hashRange = 18446744073709551616.0; // 2^64
+    double point = static_cast<double>(stableHash(requestId)) / hashRange * total;
+    for (const ServiceShare &it : route.split) {
+        if (point < it.weight) {
+            return it.service;
+        }
+        point -= it.weight;
+    }
+    return route.split.back().service;
+}
+
 } // namespace Pollenspoke
--- a/packages/proxy/include/pollenspoke/proxy.h
+++ b/packages/proxy/include/pollenspoke/proxy.h
@@ -2,7 +2,7 @@
 /// The caller's face: takes HTTP requests, decides on each, and dispatches it to a target of the route's service.
 ///
 /// Index of this file:
-/// - [1] Options    (FrontOptions, DispatchOptions, ProxyOptions)
+/// - [1] Options    (WireContract, FrontOptions, DispatchOptions, ProxyOptions)
 /// - [2] Admission  (Admission, AdmissionControl, LocalAdmission)
 /// - [3] Proxy
 ///
@@ -21,7 +21,7 @@
 #pragma once
 
 #include <functional>
-#include <pollenspoke/platform.h>
+#include <pollenspoke/store.h>
 #include <pollenspoke/policy.h>
 #include <pollenspoke/telemetry.h>
 
@@ -31,6 +31,29 @@
 // [1] Options
 //-----------------------------------------------------------------------------
 
+enum class PathMatching {
+    Normalized, // percent-decoded, repeated slashes as one; paths that targets could read otherwise are refused
+    AsSent,     // byte for byte, up to the query
+};
+
+/// How requests and answers are marked on the wire, towards callers and targets.
+struct WireContract
+{
+    std::string requestIdHeader = "Pollenspoke-Request-Id"; // towards targets and callers
+    std::string deadlineHeader = "Pollenspoke-Deadline-Ms"; // time left, ms; from callers and towards targets
+    std::string accountHeader = "Pollenspoke-Account";      // towards targets: the account that the request runs for
+    std::string runHeader = "Pollenspoke-Run";              // of refusals: not-run or unknown
+    std::string keyHeader = "X-Api-Key";                    // carries a key beside Authorization; empty: none does
+    std::string instanceHeader;                             // towards targets: the target expected; empty: not sent
+    std::string proofHeader;                                // a 2xx answer of a target without it is refused; empty: none
+    bool keepsCallersRequestId = false;                     // a caller's id is passed on; else each request gets a new one
+    bool takesChunkedRequests = false;                      // false: refused with 411
+    bool hasFractionalRetryAfter = false;                   // Retry-After in seconds with a fraction; else whole seconds
+    bool takesUnframedAnswers = false;                      // a target's answer may end with its connection
+    PathMatching pathMatching = PathMatching::Normalized;   // how routes are found
+    std::vector<unsigned> retriedStatuses{502, 503, 504};   // of idempotent requests, while another attempt is left
+};
+
 /// Bounds on what a caller may send and how slowly.
 struct FrontOptions
 {
@@ -51,6 +74,11 @@
     std::uint32_t streamPartBytes = 65536;   // buffer of a streamed answer
     std::uint32_t answerHeaderBytes = 65536; // header block of an answer
     std::uint32_t pooledIdleMs = 30000;      // an idle connection to a target is closed after this
+    std::uint32_t targetQueue = 1000;        // requests beyond its slots that a target gets at once, 0 to 1000
+    double patienceFactor = 0;               // an attempt that others may follow ends after so many usual latencies; 0: no bound
+    std::uint32_t shortestPatienceMs = 250;  // least time for such an attempt
+    RetryBudgetOptions retryBudget{.reserve = 1000}; // of each service
+    BalancerOptions balancer;
 };
 
 struct ProxyOptions
@@ -63,6 +91,7 @@
     std::uint32_t addressCount = 3;    // addresses in one answer
     FrontOptions front;
     DispatchOptions dispatch;
+    WireContract wire;
 };
 
 //-----------------------------------------------------------------------------
@@ -113,6 +142,9 @@
     AdmissionControl &admission;
 };
 
+/// What a Vm knows of the targets of each service.
+using FleetNews = std::map<ServiceName, std::vector<TargetNews>>;
+
 /// The proxy of one Vm. Its calls may come from any thread.
 class Proxy
 {
@@ -126,6 +158,9 @@
     std::uint16_t port() const; // the bound port, after start()
 
     void applySnapshot(std::shared_ptr<const Snapshot> snapshot); // older revisions than the one in force are ignored
+    void applyNews(const VmName &vm, const FleetNews &news); // what another Vm says of targets
+    FleetNews news() const;                                  // what this Vm has to say of them
+    void setRetryShare(double share);                        // of the reserve of retry budgets that this Vm may use, 0 to 1
     void applyVms(const std::vector<VmEntry> &vms);               // for the address answer and the share of connections
 
     void beginLeave();                          // leaves the address answer; requests are served on
--- a/packages/proxy/src/credentials.cpp
+++ b/packages/proxy/src/credentials.cpp
@@ -31,17 +31,19 @@
     });
 }
 
-bool isOwnHeader(std::string_view name)
+bool isOwnHeader(std::string_view name, const WireContract &contract)
 {
-    return isSameHeader(name.substr(0, ownHeaderPrefix.size()), ownHeaderPrefix);
+    return isSameHeader(name.substr(0, ownHeaderPrefix.size()), ownHeaderPrefix) || isSameHeader(name, contract.requestIdHeader)
+        || isSameHeader(name, contract.deadlineHeader) || isSameHeader(name, contract.accountHeader)
+        || isSameHeader(name, contract.instanceHeader);
 }
 
-bool isCredentialHeader(std::string_view name)
+bool isCredentialHeader(std::string_view name, const WireContract &contract)
 {
-    return isSameHeader(name, "Authorization") || isSameHeader(name, "Proxy-Authorization") || isSameHeader(name, keyHeader);
+    return isSameHeader(name, "Authorization") || isSameHeader(name, "Proxy-Authorization") || isSameHeader(name, contract.keyHeader);
 }
 
-tl::expected<std::string, RefusalReason> extractKey(const http::fields &fields)
+tl::expected<std::string, RefusalReason> extractKey(const http::fields &fields, const WireContract &contract)
 {
     std::string key;
     for (const auto &it : fields) {
@@ -50,7 +52,7 @@
         std::string found;
         if (isSameHeader(name, "Authorization")) {
             found = bearerToken(value);
-        } else if (isSameHeader(name, keyHeader)) {
+        } else if (isSameHeader(name, contract.keyHeader)) {
             found = value;
         }
         if (found.empty()) {
@@ -69,6 +71,9 @@
 
 bool containsSecret(std::string_view text, std::string_view secret)
 {
+    if (secret.empty()) {
+        return false;
+    }
     if (text.find(secret) != std::string_view::npos) {
         return true;
     }
--- a/packages/proxy/src/dispatcher.cpp
+++ b/packages/proxy/src/dispatcher.cpp
@@ -12,11 +12,7 @@
 using namespace net::experimental::awaitable_operators;
 using std::chrono::milliseconds;
 
-Generator &threadGenerator()
-{
-    thread_local Generator generator{std::random_device{}()};
-    return generator;
-}
+constexpr std::uint32_t mostConnectFailures = 3; // of one request: no target saw anything of it
 
 bool carriesSecret(const http::fields::value_type &field, const std::string &secret)
 {
@@ -31,9 +27,9 @@
 }
 
 // Whether the answer carries the id of another request; one that carries several claims to belong to several.
-bool isOthersAnswer(const http::response_header<> &header, const std::string &requestId)
+bool isOthersAnswer(const http::response_header<> &header, const std::string &requestId, const WireContract &contract)
 {
-    const auto [begin, end] = header.equal_range(toBeast(requestIdHeader));
+    const auto [begin, end] = header.equal_range(toBeast(contract.requestIdHeader));
     return std::any_of(begin, end, [&requestId](const auto &it) { return toView(it.value()) != requestId; });
 }
 
@@ -44,11 +40,21 @@
     });
 }
 
-bool isRetriedStatus(unsigned status)
+bool isRetriedStatus(unsigned status, const WireContract &contract)
+{
+    return std::find(contract.retriedStatuses.begin(), contract.retriedStatuses.end(), status) != contract.retriedStatuses.end();
+}
+
+// A success that doesn't carry the proof that the target made it.
+bool lacksProof(const http::response_header<> &header, const WireContract &contract)
 {
-    return status == 502 || status == 503 || status == 504;
+    const bool isSuccess = header.result_int() >= 200 && header.result_int() < 300;
+    return isSuccess && !contract.proofHeader.empty() && header.count(contract.proofHeader) == 0;
 }
 
+constexpr unsigned misdirectedStatus = 421;
+constexpr unsigned firstServerError = 500;
+
 bool isBodiless(http::verb method, unsigned status)
 {
     return method == http::verb::head || status == 204 || status == 304;
@@ -80,7 +86,8 @@
 
 } // namespace
 
-http::request<http::string_body> makeTargetRequest(const DispatchRequest &request, TimePoint now)
+http::request<http::string_body>
+makeTargetRequest(const DispatchRequest &request, const TargetName &target, const WireContract &contract, TimePoint now)
 {
     const auto &from = request.message;
     http::request<http::string_body> message;
@@ -89,16 +96,21 @@
     message.target(from.target());
     for (const auto &it : from) {
         const std::string_view name = toView(it.name_string());
-        const bool isDropped = isOwnHeader(name) || isHopByHopHeader(name, from) || isCredentialHeader(name)
+        const bool isDropped = isOwnHeader(name, contract) || isHopByHopHeader(name, from) || isCredentialHeader(name, contract)
             || it.name() == http::field::content_length || carriesSecret(it, request.resolved.caller.secret);
         if (!isDropped) {
             message.insert(it.name_string(), it.value());
         }
     }
     const auto left = std::chrono::duration_cast<milliseconds>(request.deadline - now).count();
-    message.set(toBeast(accountHeader), request.resolved.caller.accountName.value);
-    message.set(toBeast(requestIdHeader), request.requestId);
-    message.set(toBeast(deadlineHeader), std::to_string(std::max<std::int64_t>(left, 0)));
+    if (!request.resolved.caller.accountName.value.empty()) {
+        message.set(toBeast(contract.accountHeader), request.resolved.caller.accountName.value);
+    }
+    if (!contract.instanceHeader.empty()) {
+        message.set(toBeast(contract.instanceHeader), target.value);
+    }
+    message.set(toBeast(contract.requestIdHeader), request.requestId);
+    message.set(toBeast(contract.deadlineHeader), std::to_string(std::max<std::int64_t>(left, 0)));
     message.body() = from.body();
     message.prepare_payload();
     return message;
@@ -108,6 +120,7 @@
     : m_options(options)
     , m_parts(parts)
     , m_configuration(configuration)
+    , m_targets(m_options, parts.clock)
     , m_pool(parts.metrics)
 {
 }
@@ -137,21 +150,26 @@
     Progress progress{.plan = {.isIdempotent = request.resolved.isIdempotent,
                                .maxAttempts = request.resolved.route->maxAttempts,
                                .deadline = request.deadline}};
-    while (progress.plan.attempt <= progress.plan.maxAttempts && m_parts.clock.now() < request.deadline) {
+    m_targets.noteRequest(request.resolved.serviceName);
+    while (progress.plan.attempt <= progress.plan.maxAttempts && progress.connectFailures < mostConnectFailures
+           && m_parts.clock.now() < request.deadline) {
         if (trace.mayHaveRun && !progress.plan.isIdempotent) {
             break;
         }
         if (std::optional<Refusal> refusal = resolveAgain(request, trace, progress)) {
             co_return refusal;
         }
-        if (!takeTarget(request.resolved, progress)) {
-            const RunState run = trace.mayHaveRun ? RunState::Unknown : RunState::NotRun;
-            co_return Refusal{.reason = RefusalReason::NoTarget, .run = run, .retryAfter = std::chrono::seconds(1)};
+        if (progress.sends != 0 && !mayRepeat(request, progress)) {
+            break;
+        }
+        if (std::optional<Refusal> refusal = co_await takeTarget(request, trace, progress)) {
+            co_return refusal;
         }
         if (progress.last) {
             m_parts.metrics.countRetry(progress.last->reason);
         }
         const TimePoint startedAt = m_parts.clock.now();
+        progress.hasRepeat = false;
         AttemptResult result = co_await tryOnce(request, progress, trace, reply);
         trace.timeAtTargets += m_parts.clock.now() - startedAt;
         if (const auto *failure = std::get_if<AttemptFailure>(&result)) {
@@ -167,8 +185,29 @@
         }
         co_return std::nullopt;
     }
+    co_return refuseAfter(request, trace, progress);
+}
+
+Refusal Dispatcher::refuseAfter(const DispatchRequest &request, const DispatchTrace &trace, const Progress &progress) const
+{
     const bool isPastDeadline = m_parts.clock.now() >= request.deadline;
-    co_return refusalAfter(progress.reason.value_or(RetryReason::ConnectFailed), trace.mayHaveRun, isPastDeadline);
+    Refusal refusal = refusalAfter(progress.reason.value_or(RetryReason::ConnectFailed), trace.mayHaveRun, isPastDeadline);
+    if (refusal.retryAfter) {
+        refusal.retryAfter = m_targets.drainTime(request.resolved.serviceName);
+    }
+    return refusal;
+}
+
+// Whether the request may be sent once more: attempts and time are left, and the retry budget pays for it.
+bool Dispatcher::mayRepeat(const DispatchRequest &request, Progress &progress)
+{
+    if (progress.hasRepeat) {
+        return true;
+    }
+    const Duration left = request.deadline - m_parts.clock.now();
+    const bool isUseful = left > m_targets.usualLatency(request.resolved.serviceName) / 2;
+    progress.hasRepeat = isUseful && m_targets.takeRepeat(request.resolved.serviceName);
+    return progress.hasRepeat;
 }
 
 // Before a retry: a route that was closed, a key that was withdrawn or a target that left since then counts.
@@ -177,7 +216,7 @@
     if (!progress.last) {
         return std::nullopt;
     }
-    auto resolved = resolveRequest(m_configuration.load(), request.message);
+    auto resolved = resolveRequest(m_configuration.load(), request.message, request.requestId, m_options.wire);
     if (!resolved) {
         Refusal refusal = resolved.error();
         refusal.run = trace.mayHaveRun ? RunState::Unknown : RunState::NotRun;
@@ -191,23 +230,30 @@
     return std::nullopt;
 }
 
-bool Dispatcher::takeTarget(const ResolvedRequest &resolved, Progress &progress)
+net::awaitable<std::optional<Refusal>>
+Dispatcher::takeTarget(const DispatchRequest &request, const DispatchTrace &trace, Progress &progress)
 {
+    const ResolvedRequest &resolved = request.resolved;
     if (progress.keepsTarget && resolved.serviceName == progress.id.service && isServing(*resolved.service, progress.id)) {
-        return true;
+        co_return std::nullopt;
     }
-    progress.place = TargetPlace();
-    const std::optional<Target> target = m_targets.choose(resolved.serviceName,
-                                                          *resolved.service,
-                                                          progress.tried,
-                                                          m_options.failureDomain,
-                                                          connectionLimit(*resolved.service),
-                                                          threadGenerator(),
-                                                          progress.place);
+    const AcquireRequest wanted{.service = resolved.serviceName,
+                                .tried = progress.tried,
+                                .rank = resolved.rank(),
+                                .limit = connectionLimit(*resolved.service),
+                                .objective = milliseconds(resolved.route->objectiveMs),
+                                .deadline = request.deadline};
+    const auto target = co_await m_targets.acquire(wanted, progress.place);
     if (target) {
         progress.id = {resolved.serviceName, target->name, target->address};
+        co_return std::nullopt;
     }
-    return target.has_value();
+    if (trace.mayHaveRun) {
+        co_return refuseAfter(request, trace, progress);
+    }
+    const bool isFull = target.error() == AcquireFailure::QueueFull;
+    const Duration retryAfter = isFull ? m_targets.drainTime(resolved.serviceName) : std::chrono::seconds(1);
+    co_return Refusal{.reason = isFull ? RefusalReason::QueueFull : RefusalReason::NoTarget, .retryAfter = retryAfter};
 }
 
 void Dispatcher::noteFailure(const AttemptFailure &failure, Progress &progress)
@@ -218,21 +264,32 @@
     }
     progress.last = failure;
     progress.keepsTarget = !failure.blamesTarget;
-    if (failure.blamesTarget) {
-        progress.tried.push_back(progress.id.target);
-        ++progress.plan.attempt;
-    } else {
+    if (!failure.blamesTarget) {
         progress.freshOnly = true;
+        return;
+    }
+    progress.place.end(failure.end);
+    progress.tried.push_back(progress.id.target);
+    if (failure.end == AttemptEnd::Unreachable) {
+        ++progress.connectFailures;
+    } else {
+        ++progress.plan.attempt;
     }
 }
 
 net::awaitable<Dispatcher::AttemptResult>
 Dispatcher::tryOnce(const DispatchRequest &request, Progress &progress, DispatchTrace &trace, ReplyWriter &reply)
 {
-    const AttemptPlan &plan = progress.plan;
-    TargetConnection connection(co_await net::this_coro::executor, m_options.dispatch);
-    Attempt attempt{
-        .id = progress.id, .place = progress.place, .startedAt = m_parts.clock.now(), .isLast = plan.attempt >= plan.maxAttempts};
+    AttemptPlan &plan = progress.plan;
+    const DispatchOptions &options = m_options.dispatch;
+    if (options.patienceFactor > 0) {
+        const auto usual = m_targets.usualLatency(request.resolved.serviceName) * options.patienceFactor;
+        plan.patience = std::max<Duration>(std::chrono::duration_cast<Duration>(usual), milliseconds(options.shortestPatienceMs));
+    }
+    TargetConnection connection(
+        co_await net::this_coro::executor,
+        {.answerHeaderBytes = options.answerHeaderBytes, .takesUnframedAnswers = m_options.wire.takesUnframedAnswers});
+    Attempt attempt{.id = progress.id, .place = progress.place, .startedAt = m_parts.clock.now()};
     if (plan.isIdempotent && !progress.freshOnly) {
         Descriptor idle = takeIdle(attempt);
         attempt.isPooled = idle.isOpen() && connection.adopt(attempt.id.address, std::move(idle));
@@ -240,61 +297,71 @@
     attempt.giveUpAt = attempt.startedAt + attemptTimeout(plan, attempt.isPooled, attempt.startedAt);
     if (attempt.isPooled) {
         m_parts.metrics.count(Counter::ConnectionsReused);
-        co_return co_await exchange(request, attempt, connection, trace, reply);
+        co_return co_await exchange(request, attempt, connection, progress, trace, reply);
     }
     makeRoom(request, attempt);
     const Duration longest = milliseconds(m_options.dispatch.connectTimeoutMs);
     const SystemError ec
         = co_await connection.connect(attempt.id.address, attempt.startedAt + connectTimeout(plan, longest, attempt.startedAt));
     if (ec) {
-        co_return AttemptFailure{.reason = RetryReason::ConnectFailed};
+        co_return AttemptFailure{.reason = RetryReason::ConnectFailed, .end = AttemptEnd::Unreachable};
     }
     m_parts.metrics.count(Counter::ConnectionsOpened);
     m_parts.metrics.recordTiming(Timing::Connect, m_parts.clock.now() - attempt.startedAt);
-    co_return co_await exchange(request, attempt, connection, trace, reply);
+    co_return co_await exchange(request, attempt, connection, progress, trace, reply);
 }
 
-net::awaitable<Dispatcher::AttemptResult> Dispatcher::exchange(
-    const DispatchRequest &request, const Attempt &attempt, TargetConnection &connection, DispatchTrace &trace, ReplyWriter &reply)
+net::awaitable<Dispatcher::AttemptResult> Dispatcher::exchange(const DispatchRequest &request,
+                                                               const Attempt &attempt,
+                                                               TargetConnection &connection,
+                                                               Progress &progress,
+                                                               DispatchTrace &trace,
+                                                               ReplyWriter &reply)
 {
     const TimePoint sentAt = m_parts.clock.now();
-    const http::request<http::string_body> message = makeTargetRequest(request, sentAt);
+    const http::request<http::string_body> message = makeTargetRequest(request, attempt.id.target, m_options.wire, sentAt);
     RequestSerializer serializer(message);
     const bool mayHaveRunBefore = trace.mayHaveRun;
     trace.mayHaveRun = true; // holds as well if this coroutine is cancelled while it writes
     if (co_await connection.beginSend(serializer, attempt.giveUpAt) == 0) {
         trace.mayHaveRun = mayHaveRunBefore;
         co_return AttemptFailure{.reason = attempt.isPooled ? RetryReason::StaleConnection : RetryReason::ConnectFailed,
-                                 .blamesTarget = !attempt.isPooled};
+                                 .blamesTarget = !attempt.isPooled,
+                                 .end = AttemptEnd::Unreachable};
     }
+    ++progress.sends;
     m_parts.metrics.count(Counter::Dispatches);
     AttemptResult result;
     if (connection.hasSentAll()) {
-        result = co_await receive(request, attempt, connection, reply);
+        result = co_await receive(request, attempt, connection, progress, reply);
     } else {
         // Through a reference: the operator would merge the alternatives of two variants into one.
         const auto receiveInto
-            = [&](AttemptResult &into) -> net::awaitable<void> { into = co_await receive(request, attempt, connection, reply); };
+            = [&](AttemptResult &into) -> net::awaitable<void> { into = co_await receive(request, attempt, connection, progress, reply); };
         co_await (receiveInto(result) || connection.sendRest(serializer, attempt.giveUpAt));
     }
     if (const auto *failure = std::get_if<AttemptFailure>(&result)) {
         trace.mayHaveRun = failure->mayHaveRun || mayHaveRunBefore;
     } else {
-        m_parts.metrics.recordTiming(Timing::Target, m_parts.clock.now() - sentAt);
-        keepConnection(request, attempt, connection);
+        const Duration latency = m_parts.clock.now() - sentAt;
+        const bool isServerError = connection.header().result_int() >= firstServerError;
+        m_parts.metrics.recordTiming(Timing::Target, latency);
+        const AttemptEnd end = isServerError || !connection.isWhole() ? AttemptEnd::Failed : AttemptEnd::Answered;
+        keepConnection(request, attempt, connection, end, latency);
+        attempt.place.end(end, latency);
     }
     co_return result;
 }
 
-net::awaitable<Dispatcher::AttemptResult>
-Dispatcher::receive(const DispatchRequest &request, const Attempt &attempt, TargetConnection &connection, ReplyWriter &reply)
+net::awaitable<Dispatcher::AttemptResult> Dispatcher::receive(
+    const DispatchRequest &request, const Attempt &attempt, TargetConnection &connection, Progress &progress, ReplyWriter &reply)
 {
     const bool isHead = request.message.method() == http::verb::head;
     const std::optional<ReceiveFault> fault = co_await connection.receiveHeader(isHead, attempt.giveUpAt);
     if (fault) {
         co_return failureFor(*fault, attempt, connection);
     }
-    if (std::optional<AttemptFailure> failure = judgeAnswer(request, attempt, connection)) {
+    if (std::optional<AttemptFailure> failure = judgeAnswer(request, attempt, connection, progress)) {
         co_return *failure;
     }
     co_return co_await receiveBody(request, attempt, connection, reply);
@@ -311,24 +378,34 @@
         return AttemptFailure{.reason = RetryReason::StaleConnection, .mayHaveRun = true, .blamesTarget = false};
     }
     const bool isTimeout = fault == ReceiveFault::Timeout;
-    return AttemptFailure{.reason = isTimeout ? RetryReason::AttemptTimeout : RetryReason::AnswerIncomplete, .mayHaveRun = true};
+    return AttemptFailure{.reason = isTimeout ? RetryReason::AttemptTimeout : RetryReason::AnswerIncomplete,
+                          .mayHaveRun = true,
+                          .end = isTimeout ? AttemptEnd::Silent : AttemptEnd::Failed};
 }
 
 std::optional<Dispatcher::AttemptFailure>
-Dispatcher::judgeAnswer(const DispatchRequest &request, const Attempt &attempt, const TargetConnection &connection) const
+Dispatcher::judgeAnswer(const DispatchRequest &request, const Attempt &attempt, const TargetConnection &connection, Progress &progress)
 {
     const http::response_header<> &header = connection.header();
-    const bool isEchoed = header.count(toBeast(requestIdHeader)) != 0;
+    const bool isEchoed = header.count(toBeast(m_options.wire.requestIdHeader)) != 0;
     const bool isUnproved = !isEchoed && attempt.isPooled && request.resolved.service->connectionReuse == ConnectionReuse::Echoed;
-    if (isUnproved || isOthersAnswer(header, request.requestId)) {
+    if (isUnproved || isOthersAnswer(header, request.requestId, m_options.wire)) {
         logEvent(Event::AnswerDiscarded, {{"target", attempt.id.target.value}, {"request_id", request.requestId}}, LogLevel::Warning);
         return AttemptFailure{.reason = RetryReason::AnswerMismatched, .mayHaveRun = true, .blamesTarget = !attempt.isPooled};
     }
     if (isListedNotRun(*request.resolved.service, header)) {
         // On a reused connection an answer without the id could be another request's: it proves nothing.
-        return AttemptFailure{.reason = RetryReason::NotRunAnswer, .mayHaveRun = attempt.isPooled && !isEchoed};
+        const bool isMisdirected = header.result_int() == misdirectedStatus;
+        return AttemptFailure{.reason = RetryReason::NotRunAnswer,
+                              .mayHaveRun = attempt.isPooled && !isEchoed,
+                              .end = isMisdirected ? AttemptEnd::Misdirected : AttemptEnd::Declined};
+    }
+    if (lacksProof(header, m_options.wire)) {
+        logEvent(Event::AnswerDiscarded, {{"target", attempt.id.target.value}, {"why", "no proof of the target"}}, LogLevel::Warning);
+        return AttemptFailure{.reason = RetryReason::AnswerMismatched, .mayHaveRun = true};
     }
-    if (request.resolved.isIdempotent && !attempt.isLast && isRetriedStatus(header.result_int())) {
+    const bool isLast = progress.plan.attempt >= progress.plan.maxAttempts;
+    if (request.resolved.isIdempotent && !isLast && isRetriedStatus(header.result_int(), m_options.wire) && mayRepeat(request, progress)) {
         return AttemptFailure{.reason = RetryReason::ServerError, .mayHaveRun = true};
     }
     return std::nullopt;
@@ -392,14 +469,15 @@
     m_targets.visitInFlight(attempt.id, [&](std::uint32_t inFlight) { m_pool.makeRoom(attempt.id, limit - std::min(inFlight, limit)); });
 }
 
-void Dispatcher::keepConnection(const DispatchRequest &request, const Attempt &attempt, TargetConnection &connection)
+void Dispatcher::keepConnection(
+    const DispatchRequest &request, const Attempt &attempt, TargetConnection &connection, AttemptEnd end, Duration latency)
 {
     if (connection.hasSurplusBytes()) {
         logEvent(
             Event::AnswerDiscarded, {{"target", attempt.id.target.value}, {"why", "surplus bytes after the answer"}}, LogLevel::Warning);
     }
     const Service &service = *request.resolved.service;
-    const bool isEchoed = connection.header().count(toBeast(requestIdHeader)) != 0;
+    const bool isEchoed = connection.header().count(toBeast(m_options.wire.requestIdHeader)) != 0;
     const bool isAllowed
         = service.connectionReuse == ConnectionReuse::Always || (service.connectionReuse == ConnectionReuse::Echoed && isEchoed);
     if (!isAllowed || !connection.mayBeReused()) {
@@ -407,7 +485,7 @@
     }
     const std::uint32_t limit = connectionLimit(service);
     // In one step: this request's connection would count twice otherwise, and another idle one would be closed for it.
-    m_targets.leave(attempt.place, [&](std::uint32_t others) {
+    m_targets.leave(attempt.place, end, latency, [&](std::uint32_t others) {
         m_pool.put(attempt.id, connection.release(), m_parts.clock.now(), limit - std::min(others, limit));
     });
 }
--- a/packages/proxy/src/dispatcher.h
+++ b/packages/proxy/src/dispatcher.h
@@ -4,6 +4,7 @@
 
 #include "reply_writer.h"
 #include "resolve.h"
+#include "target_table.h"
 #include "target_connection.h"
 
 namespace Pollenspoke {
@@ -25,7 +26,8 @@
 };
 
 /// The message that a target gets: no credentials, no hop-by-hop headers, the account and request id set.
-http::request<http::string_body> makeTargetRequest(const DispatchRequest &request, TimePoint now);
+http::request<http::string_body>
+makeTargetRequest(const DispatchRequest &request, const TargetName &target, const WireContract &contract, TimePoint now);
 
 /// Dispatches requests; shared by all workers.
 class Dispatcher
@@ -40,6 +42,7 @@
     net::awaitable<std::optional<Refusal>> dispatch(DispatchRequest &request, DispatchTrace &trace, ReplyWriter &reply);
 
     void setVmCount(std::uint32_t n); // Vms that share each target's connections
+    TargetTable &targets() { return m_targets; }
     void closeIdle(TimePoint now);
     void clearPool();
 
@@ -49,6 +52,7 @@
         RetryReason reason = RetryReason::ConnectFailed;
         bool mayHaveRun = false;
         bool blamesTarget = true; // false: only the connection was at fault
+        AttemptEnd end = AttemptEnd::Failed;
     };
     struct WholeAnswer
     {
@@ -67,7 +71,6 @@
         TimePoint startedAt;
         TimePoint giveUpAt;
         bool isPooled = false;
-        bool isLast = false;
     };
 
     // The attempts of one request so far.
@@ -75,6 +78,9 @@
     {
         AttemptPlan plan;
         std::vector<TargetName> tried;
+        std::uint32_t sends = 0;          // attempts of which a target may have seen something
+        std::uint32_t connectFailures = 0;
+        bool hasRepeat = false;           // the retry budget has paid for the next attempt
         std::optional<AttemptFailure> last;
         std::optional<RetryReason> reason; // of the last failure after which the request may have run, else of the last
         bool mayHaveRun = false;           // after one of the failures
@@ -85,14 +91,20 @@
     };
 
     std::optional<Refusal> resolveAgain(DispatchRequest &request, const DispatchTrace &trace, Progress &progress) const;
-    bool takeTarget(const ResolvedRequest &resolved, Progress &progress);
+    net::awaitable<std::optional<Refusal>> takeTarget(const DispatchRequest &request, const DispatchTrace &trace, Progress &progress);
+    bool mayRepeat(const DispatchRequest &request, Progress &progress);
+    Refusal refuseAfter(const DispatchRequest &request, const DispatchTrace &trace, const Progress &progress) const;
     static void noteFailure(const AttemptFailure &failure, Progress &progress);
 
     net::awaitable<AttemptResult> tryOnce(const DispatchRequest &request, Progress &progress, DispatchTrace &trace, ReplyWriter &reply);
-    net::awaitable<AttemptResult> exchange(
-        const DispatchRequest &request, const Attempt &attempt, TargetConnection &connection, DispatchTrace &trace, ReplyWriter &reply);
-    net::awaitable<AttemptResult>
-    receive(const DispatchRequest &request, const Attempt &attempt, TargetConnection &connection, ReplyWriter &reply);
+    net::awaitable<AttemptResult> exchange(const DispatchRequest &request,
+                                           const Attempt &attempt,
+                                           TargetConnection &connection,
+                                           Progress &progress,
+                                           DispatchTrace &trace,
+                                           ReplyWriter &reply);
+    net::awaitable<AttemptResult> receive(
+        const DispatchRequest &request, const Attempt &attempt, TargetConnection &connection, Progress &progress, ReplyWriter &reply);
     net::awaitable<AttemptResult>
     receiveBody(const DispatchRequest &request, const Attempt &attempt, TargetConnection &connection, ReplyWriter &reply);
     net::awaitable<AttemptResult>
@@ -100,10 +112,10 @@
 
     AttemptFailure failureFor(ReceiveFault fault, const Attempt &attempt, const TargetConnection &connection);
     std::optional<AttemptFailure>
-    judgeAnswer(const DispatchRequest &request, const Attempt &attempt, const TargetConnection &connection) const;
+    judgeAnswer(const DispatchRequest &request, const Attempt &attempt, const TargetConnection &connection, Progress &progress);
     Descriptor takeIdle(const Attempt &attempt);
     void makeRoom(const DispatchRequest &request, const Attempt &attempt);
-    void keepConnection(const DispatchRequest &request, const Attempt &attempt, TargetConnection &connection);
+    void keepConnection(const DispatchRequest &request, const Attempt &attempt, TargetConnection &connection, AttemptEnd end, Duration latency);
     std::uint32_t connectionLimit(const Service &service) const;
 
     ProxyOptions m_options;
--- a/packages/proxy/src/guards.cpp
+++ b/packages/proxy/src/guards.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <array>
+#include <boost/algorithm/string/case_conv.hpp>
 
 namespace Pollenspoke {
 
@@ -57,6 +58,14 @@
     return std::count_if(header.begin(), header.end(), [name](const auto &it) { return isSameHeader(toView(it.name_string()), name); });
 }
 
+// One Transfer-Encoding of "chunked" alone, and no length beside it.
+bool isPlainlyChunked(const RequestHeader &header)
+{
+    const auto it = header.find(http::field::transfer_encoding);
+    return countHeaders(header, "Transfer-Encoding") == 1 && it != header.end() && beast::iequals(it->value(), "chunked")
+        && countHeaders(header, "Content-Length") == 0;
+}
+
 bool isHostWrong(const RequestHeader &header)
 {
     const std::size_t n = header.count(http::field::host);
@@ -65,9 +74,9 @@
 
 } // namespace
 
-Refusal refusalForParseError(const SystemError &ec, const RequestHeader &header)
+Refusal refusalForParseError(const SystemError &ec, const RequestHeader &header, const WireContract &contract)
 {
-    if (countHeaders(header, "Transfer-Encoding") != 0) {
+    if (countHeaders(header, "Transfer-Encoding") != 0 && !contract.takesChunkedRequests) {
         return closing(RefusalReason::TransferEncoding);
     }
     if (ec == http::error::header_limit) {
@@ -85,9 +94,9 @@
     return closing(RefusalReason::MalformedRequest);
 }
 
-std::optional<Refusal> checkHeader(const RequestHeader &header)
+std::optional<Refusal> checkHeader(const RequestHeader &header, const WireContract &contract)
 {
-    if (countHeaders(header, "Transfer-Encoding") != 0) {
+    if (countHeaders(header, "Transfer-Encoding") != 0 && !(contract.takesChunkedRequests && isPlainlyChunked(header))) {
         return closing(RefusalReason::TransferEncoding);
     }
     const auto length = header.find(http::field::content_length);
@@ -132,6 +141,22 @@
     return path;
 }
 
+std::optional<std::string> extractRawPath(std::string_view requestTarget)
+{
+    if (!requestTarget.starts_with('/') || requestTarget.find('#') != std::string_view::npos) {
+        return std::nullopt;
+    }
+    return std::string(requestTarget.substr(0, requestTarget.find('?')));
+}
+
+std::string extractHost(const http::fields &fields)
+{
+    const auto it = fields.find(http::field::host);
+    std::string host(it == fields.end() ? std::string_view() : toView(it->value()));
+    host.resize(std::min(host.find(':'), host.size()));
+    return boost::algorithm::to_lower_copy(host);
+}
+
 bool hasConnectionToken(const http::fields &fields, std::string_view token)
 {
     const auto [first, last] = fields.equal_range(http::field::connection);
--- a/packages/proxy/src/http.h
+++ b/packages/proxy/src/http.h
@@ -17,11 +17,6 @@
 
 inline constexpr auto asTuple = net::as_tuple(net::use_awaitable); // co_await returns (error, value...) and doesn't throw
 
-inline constexpr std::string_view keyHeader = "X-Api-Key";
-inline constexpr std::string_view accountHeader = "Pollenspoke-Account";
-inline constexpr std::string_view requestIdHeader = "Pollenspoke-Request-Id";
-inline constexpr std::string_view deadlineHeader = "Pollenspoke-Deadline-Ms";
-inline constexpr std::string_view runHeader = "Pollenspoke-Run";
 
 inline std::string_view toView(beast::string_view text)
 {
--- a/packages/proxy/src/proxy.cpp
+++ b/packages/proxy/src/proxy.cpp
@@ -244,10 +244,26 @@
             return;
         }
     } while (!m_impl->snapshot.compare_exchange_weak(present, snapshot));
+    m_impl->dispatcher.targets().applySnapshot(*snapshot);
     m_impl->parts.metrics.setGauge(Gauge::SnapshotRevision, static_cast<std::int64_t>(snapshot->revision()));
     logEvent(Event::SnapshotApplied, {{"revision", std::to_string(snapshot->revision())}});
 }
 
+void Proxy::applyNews(const VmName &vm, const FleetNews &news)
+{
+    m_impl->dispatcher.targets().applyNews(vm, news);
+}
+
+FleetNews Proxy::news() const
+{
+    return m_impl->dispatcher.targets().news();
+}
+
+void Proxy::setRetryShare(double share)
+{
+    m_impl->dispatcher.targets().setRetryShare(share);
+}
+
 void Proxy::applyVms(const std::vector<VmEntry> &vms)
 {
     {
--- a/packages/proxy/src/refusal.h
+++ b/packages/proxy/src/refusal.h
@@ -5,6 +5,7 @@
 #include "http.h"
 
 #include <optional>
+#include <pollenspoke/proxy.h>
 
 namespace Pollenspoke {
 
@@ -17,6 +18,6 @@
 };
 
 /// The refusal as an HTTP answer with an application/problem+json body.
-http::response<http::string_body> makeRefusalAnswer(const Refusal &refusal, const std::string &requestId);
+http::response<http::string_body> makeRefusalAnswer(const Refusal &refusal, const std::string &requestId, const WireContract &contract = {});
 
 } // namespace Pollenspoke
--- a/packages/proxy/src/reply_writer.cpp
+++ b/packages/proxy/src/reply_writer.cpp
@@ -4,9 +4,10 @@
 
 namespace Pollenspoke {
 
-ReplyWriter::ReplyWriter(beast::tcp_stream &stream, ReplyContext context)
+ReplyWriter::ReplyWriter(beast::tcp_stream &stream, ReplyContext context, const WireContract &contract)
     : m_stream(stream)
     , m_context(std::move(context))
+    , m_contract(contract)
 {
 }
 
@@ -18,11 +19,11 @@
     copy.reason(header.reason());
     for (const auto &it : header) {
         const std::string_view name = toView(it.name_string());
-        if (!isHopByHopHeader(name, header) && !beast::iequals(it.name_string(), toBeast(runHeader))) {
+        if (!isHopByHopHeader(name, header) && !beast::iequals(it.name_string(), toBeast(m_contract.runHeader))) {
             copy.insert(it.name_string(), it.value());
         }
     }
-    copy.set(toBeast(requestIdHeader), m_context.requestId);
+    copy.set(toBeast(m_contract.requestIdHeader), m_context.requestId);
     return copy;
 }
 
@@ -47,7 +48,7 @@
 net::awaitable<bool> ReplyWriter::sendRefusal(const Refusal &refusal)
 {
     m_context.keepsConnection = m_context.keepsConnection && !refusal.closes;
-    http::response<http::string_body> answer = makeRefusalAnswer(refusal, m_context.requestId);
+    http::response<http::string_body> answer = makeRefusalAnswer(refusal, m_context.requestId, m_contract);
     setConnectionHeader(answer);
     if (m_context.isHead) {
         answer.body().clear(); // its length stays in the header
--- a/packages/proxy/src/reply_writer.h
+++ b/packages/proxy/src/reply_writer.h
@@ -19,7 +19,7 @@
 class ReplyWriter
 {
 public:
-    ReplyWriter(beast::tcp_stream &stream, ReplyContext context);
+    ReplyWriter(beast::tcp_stream &stream, ReplyContext context, const WireContract &contract);
 
     net::awaitable<bool> sendRefusal(const Refusal &refusal);
 
@@ -45,6 +45,7 @@
 
     beast::tcp_stream &m_stream;
     ReplyContext m_context;
+    const WireContract &m_contract;
     bool m_hasBegun = false;
     bool m_isChunked = false;
 };
--- a/packages/proxy/src/resolve.cpp
+++ b/packages/proxy/src/resolve.cpp
@@ -44,12 +44,12 @@
 }
 
 // Whether targets that take parameters off and targets that don't see the same route.
-bool isRoutedAlike(const Snapshot &snapshot, const std::string &path, const std::vector<RouteMatch> &matches)
+bool isRoutedAlike(const Snapshot &snapshot, const std::string &host, const std::string &path, const std::vector<RouteMatch> &matches)
 {
     if (path.find(';') == std::string::npos) {
         return true;
     }
-    const std::vector<RouteMatch> others = snapshot.findRoutes(withoutParameters(path));
+    const std::vector<RouteMatch> others = snapshot.findRoutes(host, withoutParameters(path));
     return std::equal(matches.begin(), matches.end(), others.begin(), others.end(), [](const RouteMatch &left, const RouteMatch &right) {
         return left.name == right.name;
     });
@@ -62,12 +62,12 @@
 
 } // namespace
 
-tl::expected<Caller, Refusal> resolveCaller(std::shared_ptr<const Snapshot> snapshot, const http::fields &fields)
+tl::expected<Caller, Refusal> resolveCaller(std::shared_ptr<const Snapshot> snapshot, const http::fields &fields, const WireContract &contract)
 {
     if (!snapshot) {
         return refuse(RefusalReason::ConfigurationStale);
     }
-    tl::expected<std::string, RefusalReason> secret = extractKey(fields);
+    tl::expected<std::string, RefusalReason> secret = extractKey(fields, contract);
     if (!secret) {
         return refuse(secret.error());
     }
@@ -86,43 +86,49 @@
     return Caller{.snapshot = std::move(snapshot), .accountName = name, .account = account, .secret = std::move(*secret)};
 }
 
-tl::expected<ResolvedRequest, Refusal> resolveRequest(std::shared_ptr<const Snapshot> snapshot, const RequestHeader &header)
+tl::expected<ResolvedRequest, Refusal> resolveRequest(std::shared_ptr<const Snapshot> snapshot,
+                                                      const RequestHeader &header,
+                                                      const std::string &requestId,
+                                                      const WireContract &contract)
 {
-    tl::expected<Caller, Refusal> caller = resolveCaller(std::move(snapshot), header);
+    if (!snapshot) {
+        return refuse(RefusalReason::ConfigurationStale);
+    }
+    const std::string_view requestTarget = toView(header.target());
+    const bool isSentPath = contract.pathMatching == PathMatching::AsSent;
+    const std::optional<std::string> path = isSentPath ? extractRawPath(requestTarget) : extractPath(requestTarget);
+    const std::string host = extractHost(header);
+    const std::vector<RouteMatch> matches = path ? snapshot->findRoutes(host, *path) : std::vector<RouteMatch>();
+    const std::string_view method = toView(header.method_string());
+    const RouteMatch *match = matchMethod(matches, method);
+    const bool isAnonymous = match != nullptr && match->route->isAnonymous;
+    tl::expected<Caller, Refusal> caller = isAnonymous ? Caller{.snapshot = snapshot} : resolveCaller(snapshot, header, contract);
     if (!caller) {
         return tl::unexpected(caller.error());
     }
-    const std::string_view requestTarget = toView(header.target());
     if (containsSecret(requestTarget, caller->secret)) {
         return refuse(RefusalReason::KeyInContent);
     }
-    const std::optional<std::string> path = extractPath(requestTarget);
-    if (!path) {
-        return refuse(RefusalReason::MalformedRequest);
-    }
-    const std::vector<RouteMatch> matches = caller->snapshot->findRoutes(*path);
-    if (!isRoutedAlike(*caller->snapshot, *path, matches)) {
+    if (!path || (!isSentPath && !isRoutedAlike(*snapshot, host, *path, matches))) {
         return refuse(RefusalReason::MalformedRequest);
     }
     if (matches.empty()) {
         return refuse(RefusalReason::RouteNotFound);
     }
-    const std::string_view method = toView(header.method_string());
-    const RouteMatch *match = matchMethod(matches, method);
     if (match == nullptr) {
         return refuse(RefusalReason::MethodNotAllowed);
     }
     if (match->route->state == RouteState::Closed) {
         return refuse(RefusalReason::RouteClosed);
     }
-    if (!mayUse(*match->route, caller->accountName)) {
+    if (!isAnonymous && !mayUse(*match->route, caller->accountName)) {
         return refuse(RefusalReason::AccountNotAllowed);
     }
     ResolvedRequest resolved;
     resolved.routeName = match->name;
     resolved.route = match->route;
-    resolved.serviceName = match->route->service;
-    resolved.service = caller->snapshot->findService(resolved.serviceName);
+    resolved.serviceName = chooseService(*match->route, requestId);
+    resolved.service = snapshot->findService(resolved.serviceName);
     resolved.isIdempotent = match->route->idempotent.value_or(isIdempotentMethod(method));
     resolved.caller = std::move(*caller);
     if (resolved.service == nullptr) {
--- a/packages/proxy/src/session.cpp
+++ b/packages/proxy/src/session.cpp
@@ -19,10 +19,10 @@
 constexpr std::uint64_t longestDeadlineMs = 3600000;
 
 // The route's deadline, shortened by the caller's; nothing when the caller's isn't a number.
-std::optional<milliseconds> deadlineFor(const Route &route, const http::fields &fields)
+std::optional<milliseconds> deadlineFor(const Route &route, const http::fields &fields, const WireContract &contract)
 {
     milliseconds deadline(route.deadlineMs);
-    const auto it = fields.find(toBeast(deadlineHeader));
+    const auto it = fields.find(toBeast(contract.deadlineHeader));
     if (it == fields.end()) {
         return deadline;
     }
@@ -35,6 +35,12 @@
     return std::min(deadline, milliseconds(std::min(wanted, longestDeadlineMs)));
 }
 
+std::string requestIdFor(const http::fields &fields, const WireContract &contract)
+{
+    const auto it = contract.keepsCallersRequestId ? fields.find(contract.requestIdHeader) : fields.end();
+    return it == fields.end() || it->value().empty() ? randomHex(requestIdBytes) : std::string(toView(it->value()));
+}
+
 struct AdmissionInitiation
 {
     AdmissionControl &admission;
@@ -218,9 +224,9 @@
     }
     m_shared.parts.metrics.count(Counter::RequestsReceived);
     if (ec) {
-        co_return co_await refuse(refusalForParseError(ec, header.get()), header.get());
+        co_return co_await refuse(refusalForParseError(ec, header.get(), m_shared.options.wire), header.get());
     }
-    if (std::optional<Refusal> refusal = checkHeader(header.get())) {
+    if (std::optional<Refusal> refusal = checkHeader(header.get(), m_shared.options.wire)) {
         co_return co_await refuse(*refusal, header.get());
     }
     co_return co_await serveParsed(header);
@@ -239,7 +245,7 @@
 
 net::awaitable<Session::Next> Session::refuse(const Refusal &refusal, const RequestHeader &header)
 {
-    ReplyWriter reply(m_stream, makeReplyContext({}, header));
+    ReplyWriter reply(m_stream, makeReplyContext({}, header), m_shared.options.wire);
     m_shared.parts.metrics.countRefusal(refusal.reason, refusal.run);
     const bool isSent = co_await reply.sendRefusal(refusal);
     if (!isSent) {
@@ -251,15 +257,15 @@
 net::awaitable<Session::Next> Session::serveParsed(HeaderParser &header)
 {
     const TimePoint receivedAt = m_shared.parts.clock.now();
-    const bool hasBody = header.content_length().value_or(0) != 0;
-    const std::string requestId = randomHex(requestIdBytes);
-    ReplyWriter reply(m_stream, makeReplyContext(requestId, header.get()));
+    const bool hasBody = header.content_length().value_or(0) != 0 || header.chunked();
+    const std::string requestId = requestIdFor(header.get(), m_shared.options.wire);
+    ReplyWriter reply(m_stream, makeReplyContext(requestId, header.get()), m_shared.options.wire);
     DispatchTrace trace;
     std::optional<Refusal> refusal;
     if (extractPath(toView(header.get().target())) == addressAnswerPath) {
         co_return co_await answerAddresses(header, reply);
     }
-    const auto early = resolveRequest(m_shared.snapshot.load(), header.get());
+    const auto early = resolveRequest(m_shared.snapshot.load(), header.get(), requestId, m_shared.options.wire);
     if (!early) {
         refusal = early.error();
         refusal->closes = refusal->closes || hasBody;
@@ -305,7 +311,7 @@
 
 net::awaitable<Session::Next> Session::answerAddresses(HeaderParser &header, ReplyWriter &reply)
 {
-    const auto caller = resolveCaller(m_shared.snapshot.load(), header.get());
+    const auto caller = resolveCaller(m_shared.snapshot.load(), header.get(), m_shared.options.wire);
     const bool hasBody = header.content_length().value_or(0) != 0;
     bool isSent = false;
     if (!caller || header.get().method() != http::verb::get || hasBody) {
@@ -346,7 +352,7 @@
         co_return Refusal{.reason = RefusalReason::RequestTimeout, .closes = true};
     }
     if (ec == http::error::body_limit) {
-        co_return refusalForParseError(ec, parser.get());
+        co_return refusalForParseError(ec, parser.get(), m_shared.options.wire);
     }
     if (ec) {
         co_return Refusal{.reason = RefusalReason::CallerGone, .closes = true};
@@ -358,20 +364,22 @@
 {
     const TimePoint now = m_shared.parts.clock.now();
     // Resolved anew: the body may have taken long, and a key withdrawn meanwhile counts.
-    auto resolved = resolveRequest(m_shared.snapshot.load(), request.message);
+    auto resolved = resolveRequest(m_shared.snapshot.load(), request.message, request.requestId, m_shared.options.wire);
     if (!resolved) {
         co_return resolved.error();
     }
     if (containsSecret(request.message.body(), resolved->caller.secret)) {
         co_return Refusal{.reason = RefusalReason::KeyInContent};
     }
-    const std::optional<milliseconds> deadline = deadlineFor(*resolved->route, request.message);
+    const std::optional<milliseconds> deadline = deadlineFor(*resolved->route, request.message, m_shared.options.wire);
     if (!deadline) {
         co_return Refusal{.reason = RefusalReason::MalformedRequest};
     }
-    const Admission admission = co_await askAdmission(m_shared.parts.admission, resolved->caller, now);
-    if (std::optional<Refusal> refusal = refusalFor(admission)) {
-        co_return refusal;
+    if (resolved->caller.account != nullptr) {
+        const Admission admission = co_await askAdmission(m_shared.parts.admission, resolved->caller, now);
+        if (std::optional<Refusal> refusal = refusalFor(admission)) {
+            co_return refusal;
+        }
     }
     request.resolved = std::move(*resolved);
     request.deadline = now + *deadline;
--- a/packages/proxy/src/target_connection.cpp
+++ b/packages/proxy/src/target_connection.cpp
@@ -9,7 +9,7 @@
 
 } // namespace
 
-TargetConnection::TargetConnection(net::any_io_executor executor, const DispatchOptions &options)
+TargetConnection::TargetConnection(net::any_io_executor executor, const ConnectionOptions &options)
     : m_options(options)
     , m_stream(std::move(executor))
 {
@@ -97,7 +97,7 @@
             co_return ReceiveFault::Malformed;
         }
         if (status >= 200) {
-            if (m_parser->need_eof()) {
+            if (m_parser->need_eof() && !m_options.takesUnframedAnswers) {
                 co_return ReceiveFault::LengthUnproved;
             }
             co_return std::nullopt;
--- a/packages/proxy/src/target_connection.h
+++ b/packages/proxy/src/target_connection.h
@@ -18,6 +18,12 @@
     LengthUnproved, // neither a length nor chunks: a part would look whole
 };
 
+struct ConnectionOptions
+{
+    std::uint32_t answerHeaderBytes = 65536; // header block of an answer
+    bool takesUnframedAnswers = false;       // an answer without a length may end with its connection
+};
+
 /// A request on its way out; it must outlive the sending.
 using RequestSerializer = http::request_serializer<http::string_body>;
 
@@ -26,7 +32,7 @@
 class TargetConnection
 {
 public:
-    TargetConnection(net::any_io_executor executor, const DispatchOptions &options);
+    TargetConnection(net::any_io_executor executor, const ConnectionOptions &options);
     ~TargetConnection();
 
     net::awaitable<SystemError> connect(const Address &address, TimePoint giveUpAt);
@@ -60,7 +66,7 @@
     void setResetOnClose(bool resets);
     ReceiveFault faultFor(const SystemError &ec) const;
 
-    DispatchOptions m_options;
+    ConnectionOptions m_options;
     beast::tcp_stream m_stream;
     beast::flat_buffer m_buffer;
     std::optional<Parser> m_parser;
--- a/packages/proxy/tests/proxy_fixture.cpp
+++ b/packages/proxy/tests/proxy_fixture.cpp
@@ -47,6 +47,11 @@
 
 } // namespace
 
+ProxyOptions withoutPauses()
+{
+    return {.dispatch = {.balancer = {.firstPause = Duration::zero()}}};
+}
+
 RawCaller::RawCaller(std::uint16_t port)
     : m_fd(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
 {
--- a/packages/proxy/tests/proxy_fixture.h
+++ b/packages/proxy/tests/proxy_fixture.h
@@ -60,6 +60,9 @@
     Limits limits{.ratePerSecond = 1e5, .burst = 1e5};
 };
 
+/// Targets stay in the choice whatever they answered, so that a test meets a failing one again.
+ProxyOptions withoutPauses();
+
 /// A proxy on an own port; account shop-1 with testSecret, service work, route /work.
 class ProxyFixture
 {
--- a/packages/resources/include/pollenspoke/resources.h
+++ b/packages/resources/include/pollenspoke/resources.h
@@ -50,6 +50,7 @@
     AccountState state = AccountState::Active; // suspended: every request is refused
     Limits limits;                             // required
     std::uint32_t weight = 1;                  // share of slots when they are short, 1 to 1000
+    std::optional<std::uint32_t> priority;     // rank of its requests, 0 first, before that of the route; 0 to 1000
     auto operator<=>(const ClientAccount &) const = default;
 };
 
@@ -66,17 +67,30 @@
 
 enum class RouteState { Open, Closed };
 
+/// Part of a route's requests that a service gets.
+struct ServiceShare
+{
+    ServiceName service;
+    double weight = 0; // relative to the other shares of the route, 0 to 1e6
+    auto operator<=>(const ServiceShare &) const = default;
+};
+
 /// Which requests go to which service, and for whom.
 struct Route
 {
-    std::string pathPrefix;              // "/stock" matches "/stock" and "/stock/..."; required
+    std::string host;                    // of the Host header, without a port; empty: any
+    std::string pathPrefix;              // "/stock" matches "/stock" and "/stock/...", "/stock/" only the latter; required
     std::vector<std::string> methods;    // empty: all but CONNECT and TRACE
-    ServiceName service;                 // required
+    ServiceName service;                 // required unless `split` is set
+    std::vector<ServiceShare> split;     // instead of `service`: requests are divided by weight
     RouteState state = RouteState::Open; // closed: every request is refused
     std::vector<AccountName> accounts;   // empty: every active account
+    bool isAnonymous = false;            // needs no key, and runs for no account
     std::optional<bool> idempotent;      // unset: by method (GET, HEAD, OPTIONS, PUT, DELETE are idempotent)
     std::uint32_t deadlineMs = 10000;    // whole request, ms, 1 to 3600000
     std::uint32_t maxAttempts = 3;       // of one request, 1 to 10; a stale pooled connection costs none
+    std::uint32_t priority = 1;          // rank when slots are short, 0 first; 0 to 1000
+    std::uint32_t objectiveMs = 0;       // wanted time to the whole answer, ms; 0: none stated
     bool operator==(const Route &) const = default;
 };
 
@@ -90,6 +104,7 @@
     FailureDomain failureDomain;              // where it runs
     std::uint32_t slots = 1;                  // requests it works on at once, 1 to 10000
     TargetState state = TargetState::Serving; // leaving: no new work
+    std::uint32_t warmupMs = 0;               // expected to be slow for so long from now on, ms, 0 to 3600000
     auto operator<=>(const Target &) const = default;
 };
 
@@ -243,7 +258,7 @@
     std::optional<KeyMatch> findKey(std::string_view sha256) const;
     const ClientAccount *findAccount(const AccountName &name) const;
     const Service *findService(const ServiceName &name) const;
-    std::vector<RouteMatch> findRoutes(std::string_view path) const; // of the longest matching prefix; several differ in methods
+    std::vector<RouteMatch> findRoutes(std::string_view host, std::string_view path) const; // of the longest prefix; several differ in methods
     const std::map<ServiceName, Service> &services() const { return m_services; }
     const std::map<AccountName, ClientAccount> &accounts() const { return m_accounts; }
 
@@ -256,7 +271,7 @@
     std::map<RouteName, Route> m_routes;
     std::map<KeyName, Key> m_keys;
     std::unordered_map<std::string, KeyName> m_keysByHash;
-    std::unordered_map<std::string, std::vector<RouteName>> m_routesByPrefix;
+    std::unordered_map<std::string, std::vector<RouteName>> m_routesByPrefix; // by host + prefix; hosts have no slash
 };
 
 //-----------------------------------------------------------------------------
--- a/packages/resources/src/encode.cpp
+++ b/packages/resources/src/encode.cpp
@@ -34,6 +34,9 @@
     spec.add("state", account.state == AccountState::Active ? "active" : "suspended");
     addLimits(spec, account.limits);
     spec.addNumber("weight", account.weight);
+    if (account.priority) {
+        spec.addNumber("priority", *account.priority);
+    }
 }
 
 void encodeSpec(Document &spec, const Key &key)
@@ -46,22 +49,34 @@
 void encodeSpec(Document &spec, const Route &route)
 {
     Document &match = addObject(spec, "match");
+    match.add("host", route.host);
     match.add("path_prefix", route.pathPrefix);
     Document &methods = addList(match, "methods");
     for (const std::string &it : route.methods) {
         appendText(methods, it);
     }
-    spec.add("service", route.service.value);
+    if (route.split.empty()) {
+        spec.add("service", route.service.value);
+    }
+    Document &split = addList(spec, "split");
+    for (const ServiceShare &it : route.split) {
+        Document &share = split.append(Document::makeObject());
+        share.add("service", it.service.value);
+        share.addNumber("weight", it.weight);
+    }
     spec.add("state", route.state == RouteState::Open ? "open" : "closed");
     Document &accounts = addList(spec, "accounts");
     for (const AccountName &it : route.accounts) {
         appendText(accounts, it.value);
     }
+    spec.addFlag("anonymous", route.isAnonymous);
     if (route.idempotent) {
         spec.addFlag("idempotent", *route.idempotent);
     }
     spec.addNumber("deadline_ms", route.deadlineMs);
     spec.addNumber("max_attempts", route.maxAttempts);
+    spec.addNumber("priority", route.priority);
+    spec.addNumber("objective_ms", route.objectiveMs);
 }
 
 void encodeTarget(Document &document, const Target &target)
@@ -71,6 +86,7 @@
     document.add("failure_domain", target.failureDomain.value);
     document.addNumber("slots", target.slots);
     document.add("state", target.state == TargetState::Serving ? "serving" : "leaving");
+    document.addNumber("warmup_ms", target.warmupMs);
 }
 
 const char *reuseName(ConnectionReuse reuse)
--- a/packages/resources/src/snapshot.cpp
+++ b/packages/resources/src/snapshot.cpp
@@ -12,7 +12,7 @@
     std::set<std::string> accounts;
     std::set<std::string> services;
     std::set<std::string> hashes;
-    std::set<std::pair<std::string, std::string>> routes; // prefix and method
+    std::set<std::pair<std::string, std::string>> routes; // host + prefix, and method
 };
 
 std::string pathOf(const Object &object, const std::string &field)
@@ -38,9 +38,14 @@
 
 Result<void> checkRoute(const Object &object, const Route &route, NameSets &names)
 {
-    if (!names.services.contains(route.service.value)) {
+    if (route.split.empty() && !names.services.contains(route.service.value)) {
         return failure(ErrorCode::DanglingReference, object, "spec.service", "no Service is named " + route.service.value);
     }
+    for (const ServiceShare &it : route.split) {
+        if (!names.services.contains(it.service.value)) {
+            return failure(ErrorCode::DanglingReference, object, "spec.split", "no Service is named " + it.service.value);
+        }
+    }
     for (const AccountName &it : route.accounts) {
         if (!names.accounts.contains(it.value)) {
             return failure(ErrorCode::DanglingReference, object, "spec.accounts", "no ClientAccount is named " + it.value);
@@ -48,13 +53,23 @@
     }
     const std::vector<std::string> methods = route.methods.empty() ? std::vector<std::string>{""} : route.methods;
     for (const std::string &it : methods) {
-        if (!names.routes.emplace(route.pathPrefix, it).second) {
-            return failure(ErrorCode::Duplicate, object, "spec.match", "another Route matches the same prefix and method");
+        if (!names.routes.emplace(route.host + route.pathPrefix, it).second) {
+            return failure(ErrorCode::Duplicate, object, "spec.match", "another Route matches the same host, prefix and method");
         }
     }
     return {};
 }
 
+// The next shorter prefix that may match: "/a/b" after "/a/b/", "/a/" after "/a/b". Empty after "/".
+std::string shorterPrefix(const std::string &prefix)
+{
+    if (prefix.ends_with('/')) {
+        return prefix.substr(0, prefix.size() - 1);
+    }
+    const auto slash = prefix.rfind('/');
+    return slash == std::string::npos ? std::string() : prefix.substr(0, slash + 1);
+}
+
 NameSets collectNames(const std::vector<Object> &objects)
 {
     NameSets names;
@@ -118,7 +133,7 @@
             snapshot->m_keysByHash.emplace(key->sha256, KeyName{it.name});
         } else if (const auto *route = std::get_if<Route>(&it.spec)) {
             snapshot->m_routes.emplace(RouteName{it.name}, *route);
-            snapshot->m_routesByPrefix[route->pathPrefix].push_back(RouteName{it.name});
+            snapshot->m_routesByPrefix[route->host + route->pathPrefix].push_back(RouteName{it.name});
         }
     }
     return std::shared_ptr<const Snapshot>(std::move(snapshot));
@@ -145,23 +160,20 @@
     return it == m_services.end() ? nullptr : &it->second;
 }
 
-std::vector<RouteMatch> Snapshot::findRoutes(std::string_view path) const
+std::vector<RouteMatch> Snapshot::findRoutes(std::string_view host, std::string_view path) const
 {
-    std::string prefix(path);
-    while (!prefix.empty()) {
-        const auto it = m_routesByPrefix.find(prefix);
-        if (it != m_routesByPrefix.end()) {
+    for (std::string prefix(path); !prefix.empty(); prefix = shorterPrefix(prefix)) {
+        for (const std::string_view it : {host, std::string_view()}) {
+            const auto found = m_routesByPrefix.find(std::string(it) + prefix);
+            if (found == m_routesByPrefix.end()) {
+                continue;
+            }
             std::vector<RouteMatch> matches;
-            for (const RouteName &name : it->second) {
+            for (const RouteName &name : found->second) {
                 matches.push_back(RouteMatch{.name = name, .route = &m_routes.at(name)});
             }
             return matches;
         }
-        const auto slash = prefix.rfind('/');
-        if (prefix == "/" || slash == std::string::npos) {
-            break;
-        }
-        prefix.resize(slash == 0 ? 1 : slash);
     }
     return {};
 }
--- a/packages/platform/src/checked_store.cpp
+++ b/packages/store/src/checked_store.cpp
@@ -1,6 +1,6 @@
 // What operators may write, and proof that it was written.
 #include <algorithm>
-#include <pollenspoke/platform.h>
+#include <pollenspoke/store.h>
 
 namespace Pollenspoke {
 
--- a/packages/platform/src/config_follower.cpp
+++ b/packages/store/src/config_follower.cpp
@@ -1,5 +1,5 @@
 // The thread that drives a FollowerCore.
-#include <pollenspoke/platform.h>
+#include <pollenspoke/store.h>
 
 namespace Pollenspoke {
 
--- a/packages/platform/src/follower_core.cpp
+++ b/packages/store/src/follower_core.cpp
@@ -1,6 +1,6 @@
 // What configuration is in force: a pure state machine fed with the store's answers.
 #include <algorithm>
-#include <pollenspoke/platform.h>
+#include <pollenspoke/store.h>
 
 namespace Pollenspoke {
 
--- a/packages/platform/src/memory_store.cpp
+++ b/packages/store/src/memory_store.cpp
@@ -1,5 +1,5 @@
 #include <algorithm>
-#include <pollenspoke/platform.h>
+#include <pollenspoke/store.h>
 #include <thread>
 
 namespace Pollenspoke {
--- a/packages/platform/src/vm_directory.cpp
+++ b/packages/store/src/vm_directory.cpp
@@ -1,4 +1,4 @@
-#include <pollenspoke/platform.h>
+#include <pollenspoke/store.h>
 
 namespace Pollenspoke {
 
--- a/packages/platform/src/wire.h
+++ b/packages/store/src/wire.h
@@ -2,7 +2,7 @@
 /// The JSON forms of the object protocol, shared by its client and its server.
 #pragma once
 
-#include <pollenspoke/platform.h>
+#include <pollenspoke/store.h>
 
 namespace Pollenspoke {
 
--- a/packages/platform/tests/platform_fixture.h
+++ b/packages/store/tests/store_fixture.h
@@ -2,7 +2,7 @@
 /// Objects and a served store for the tests of this package.
 #pragma once
 
-#include <pollenspoke/platform.h>
+#include <pollenspoke/store.h>
 
 namespace Pollenspoke {
 
--- a/packages/platform/tests/test_checked_store.cpp
+++ b/packages/store/tests/test_checked_store.cpp
@@ -1,4 +1,4 @@
-#include "platform_fixture.h"
+#include "store_fixture.h"
 
 #include <boost/test/unit_test.hpp>
 
--- a/packages/platform/tests/test_config_follower.cpp
+++ b/packages/store/tests/test_config_follower.cpp
@@ -1,5 +1,5 @@
 // The follower's thread, against a store over real sockets.
-#include "platform_fixture.h"
+#include "store_fixture.h"
 
 #include <boost/test/unit_test.hpp>
 
--- a/packages/platform/tests/test_memory_store.cpp
+++ b/packages/store/tests/test_memory_store.cpp
@@ -1,5 +1,5 @@
 #include <boost/test/unit_test.hpp>
-#include <pollenspoke/platform.h>
+#include <pollenspoke/store.h>
 
 using namespace Pollenspoke;
 using namespace std::chrono_literals;
