--- a/apps/pollenspoked/settings.cpp
+++ b/apps/pollenspoked/settings.cpp
@@ -89,6 +89,29 @@
         value = static_cast<Number>(number);
     }
 
+    void readReal(const std::string &key, double &value, double lowest, double highest)
+    {
+        const YAML::Node node = take(key, false);
+        if (!node.IsDefined()) {
+            return;
+        }
+        double number = 0;
+        if (!node.IsScalar() || !YAML::convert<double>::decode(node, number)) {
+            fail(ErrorCode::WrongType, node, pathOf(key), "must be a number");
+        }
+        if (!(number >= lowest && number <= highest)) {
+            fail(ErrorCode::OutOfRange, node, pathOf(key), "must be from " + std::to_string(lowest) + " to " + std::to_string(highest));
+        }
+        value = number;
+    }
+
+    void readMs(const std::string &key, Duration &value)
+    {
+        auto ms = static_cast<std::uint32_t>(std::chrono::duration_cast<std::chrono::milliseconds>(value).count());
+        readNumber(key, ms, 0, mostMilliseconds);
+        value = std::chrono::milliseconds(ms);
+    }
+
     std::size_t readChoice(const std::string &key, const std::vector<std::string> &choices, const char *fallback)
     {
         const std::string text = readText(key, fallback);
@@ -164,6 +187,16 @@
 void readListen(Section section, Settings &settings)
 {
     settings.proxy.callers = section.readAddress("callers");
+    if (auto *shared = std::get_if<SharedPlatform>(&settings.platform)) {
+        shared->fleet.readiness = section.readAddress("readiness");
+        shared->fleet.addresses = section.readAddress("addresses");
+        shared->fleet.peers = section.readAddress("peers");
+        if (section.has("metrics")) {
+            shared->fleet.metrics = section.readAddress("metrics");
+        }
+        section.finish();
+        return;
+    }
     settings.operators = section.readAddress("operators");
     if (section.has("peers")) {
         settings.peers = section.readAddress("peers");
@@ -173,14 +206,33 @@
 
 void readPlatform(Section section, Settings &settings)
 {
-    if (section.readChoice("kind", {"embedded", "http"}, nullptr) == 0) {
+    const std::size_t kind = section.readChoice("kind", {"embedded", "http", "shared"}, nullptr);
+    if (kind == 0) {
         settings.platform = EmbeddedPlatform{.resources = section.readText("resources")};
-    } else {
+    } else if (kind == 1) {
         settings.platform = HttpPlatform{.address = section.readUrl("url")};
+    } else {
+        settings.platform = SharedPlatform{.store = section.readAddress("store")};
     }
     section.finish();
 }
 
+void readFleet(Section section, FleetOptions &fleet)
+{
+    section.readMs("address_ttl_ms", fleet.addressTtl);
+    section.readMs("watch_wait_ms", fleet.watchWait);
+    section.readMs("watch_pause_ms", fleet.watchPause);
+    section.readMs("register_delay_ms", fleet.registerDelay);
+    section.readMs("status_period_ms", fleet.statusPeriod);
+    section.readMs("news_period_ms", fleet.newsPeriod);
+    section.readMs("silence_limit_ms", fleet.silenceLimit);
+    section.readMs("leave_ms", fleet.leaveTime);
+    section.readNumber("drain_timeout_ms", fleet.drainTimeoutMs, 1, mostMilliseconds);
+    section.readReal("quota_rate_factor", fleet.quota.rateFactor, 0.1, 10);
+    section.readReal("quota_extra_burst", fleet.quota.extraBurst, 0, 1000);
+    section.finish();
+}
+
 void readLog(Section section, Settings &settings)
 {
     settings.log.level = static_cast<LogLevel>(section.readChoice("level", {"debug", "info", "warning", "error"}, "info"));
@@ -207,6 +259,15 @@
     section.readNumber("stream_part_bytes", dispatch.streamPartBytes, 1024, 1048576);
     section.readNumber("answer_header_bytes", dispatch.answerHeaderBytes, 1024, 1048576);
     section.readNumber("pooled_idle_ms", dispatch.pooledIdleMs, 1, mostMilliseconds);
+    section.readNumber("target_queue", dispatch.targetQueue, 0, 1000);
+    section.readReal("patience_factor", dispatch.patienceFactor, 0, 1000);
+    section.readNumber("shortest_patience_ms", dispatch.shortestPatienceMs, 1, mostMilliseconds);
+    section.readReal("retry_ratio", dispatch.retryBudget.ratio, 0, 10);
+    section.readReal("retry_reserve", dispatch.retryBudget.reserve, 0, 1e6);
+    section.readMs("retry_window_ms", dispatch.retryBudget.window);
+    section.readMs("first_pause_ms", dispatch.balancer.firstPause);
+    section.readMs("longest_pause_ms", dispatch.balancer.longestPause);
+    section.readNumber("floor_percent", dispatch.balancer.floorPercent, 0, 100);
     section.finish();
 }
 
@@ -215,8 +276,8 @@
     Settings settings;
     Section root(node, fileName, "");
     readVm(root.open("vm"), settings);
-    readListen(root.open("listen"), settings);
     readPlatform(root.open("platform"), settings);
+    readListen(root.open("listen"), settings);
     readLog(root.open("log"), settings);
     readFront(root.open("front"), settings.proxy.front);
     readDispatch(root.open("dispatch"), settings.proxy.dispatch);
@@ -224,6 +285,9 @@
     root.readNumber("address_ttl_ms", settings.proxy.addressTtlMs, 100, mostMilliseconds);
     root.readNumber("address_count", settings.proxy.addressCount, 1, 16);
     root.readNumber("drain_timeout_ms", settings.drainTimeoutMs, 1, mostMilliseconds);
+    if (auto *shared = std::get_if<SharedPlatform>(&settings.platform)) {
+        readFleet(root.open("fleet"), shared->fleet);
+    }
     root.finish();
     return settings;
 }
--- a/apps/pollenspoked/settings.h
+++ b/apps/pollenspoked/settings.h
@@ -2,7 +2,7 @@
 /// The settings file of pollenspoked.
 #pragma once
 
-#include <pollenspoke/proxy.h>
+#include <pollenspoke/fleet.h>
 
 namespace Pollenspoke {
 
@@ -18,12 +18,19 @@
     Address address; // of its HTTP service; written as a url
 };
 
+/// A platform that VMs share: its store holds the declarations, the targets and the Vms.
+struct SharedPlatform
+{
+    Address store;
+    FleetOptions fleet; // its proxy options are those of Settings
+};
+
 struct Settings
 {
     ProxyOptions proxy;           // vm, listen.callers, workers, front, dispatch, addresses
-    Address operators;            // listen.operators
+    Address operators;            // listen.operators; unused on a shared platform
     std::optional<Address> peers; // listen.peers; absent: no peers
-    std::variant<EmbeddedPlatform, HttpPlatform> platform;
+    std::variant<EmbeddedPlatform, HttpPlatform, SharedPlatform> platform;
     LogOptions log;
     std::uint32_t drainTimeoutMs = 600000; // planned stop: longest wait for requests in flight
 };
--- a/apps/pollenspoked/vm.cpp
+++ b/apps/pollenspoked/vm.cpp
@@ -69,6 +69,9 @@
         parts.directory = std::make_unique<HttpVmDirectory>(options);
         return parts;
     }
+    if (std::holds_alternative<SharedPlatform>(settings.platform)) {
+        return parts; // a FleetVm opens it
+    }
     auto store = std::make_unique<MemoryStore>();
     if (const Result<void> loaded = loadResources(std::get<EmbeddedPlatform>(settings.platform).resources, *store); !loaded) {
         return tl::unexpected(loaded.error());
--- a/packages/base/include/pollenspoke/base.h
+++ b/packages/base/include/pollenspoke/base.h
@@ -211,6 +211,7 @@
     VmStopped               = 1004, // planned stop is complete
     SettingsRefused         = 1005, // a settings or resource file has errors; the process ends
     ListenFailed            = 1006, // an address can't be bound; the process ends
+    SettingsChecked         = 1007, // the settings file was read again and is well
     SnapshotApplied         = 2001, // a newer configuration is in force
     SnapshotRefused         = 2002, // a configuration older than the one in force arrived
     StoreUnavailable        = 2003, // the platform's object API stopped answering
@@ -227,6 +228,8 @@
     QuotaDenied             = 5002, // no tokens here or from lenders
     PeerSuspected           = 6001, // a peer stopped answering
     PeerRecovered           = 6002, // a peer answers again
+    SeatsAssigned           = 6003, // the registered Vms changed, and with them perhaps the seat holders
+    VmForgotten             = 6004, // the registration of a Vm that nobody heard of for long is removed
     // clang-format on
 };
 
--- a/packages/base/src/events.cpp
+++ b/packages/base/src/events.cpp
@@ -20,6 +20,7 @@
     EventRow{Event::VmStopped, "vm_stopped"},
     EventRow{Event::SettingsRefused, "settings_refused"},
     EventRow{Event::ListenFailed, "listen_failed"},
+    EventRow{Event::SettingsChecked, "settings_checked"},
     EventRow{Event::SnapshotApplied, "snapshot_applied"},
     EventRow{Event::SnapshotRefused, "snapshot_refused"},
     EventRow{Event::StoreUnavailable, "store_unavailable"},
@@ -36,6 +37,8 @@
     EventRow{Event::QuotaDenied, "quota_denied"},
     EventRow{Event::PeerSuspected, "peer_suspected"},
     EventRow{Event::PeerRecovered, "peer_recovered"},
+    EventRow{Event::SeatsAssigned, "seats_assigned"},
+    EventRow{Event::VmForgotten, "vm_forgotten"},
 };
 
 constexpr auto eventNumbers = [] {
--- /dev/null
+++ b/packages/fleet/src/configuration.cpp
@@ -0,0 +1,97 @@
+#include "configuration.h"
+
+namespace Pollenspoke {
+
+Configuration::Configuration(const PlatformFormat &format, Metrics &metrics)
+    : m_format(format)
+    , m_metrics(metrics)
+{
+}
+
+void Configuration::noteRefused(const std::string &what, const std::string &version, const Error &error)
+{
+    m_metrics.count(Counter::ObjectsSkipped);
+    logEvent(Event::ObjectSkipped, {{"object", what}, {"version", version}, {"error", describe(error)}}, LogLevel::Warning);
+}
+
+void Configuration::takeDeclarations(const StoredDocument &document)
+{
+    const std::string revision = std::to_string(document.revision);
+    Result<Declarations> declarations = m_format.decodeDeclarations(document.spec);
+    if (!declarations) {
+        noteRefused("declarations", revision, declarations.error());
+        return;
+    }
+    if (m_declarations && declarations->version < m_declarations->version) {
+        m_metrics.count(Counter::SnapshotsRefused);
+        logEvent(Event::SnapshotRefused,
+                 {{"offered", std::to_string(declarations->version)}, {"in_force", std::to_string(m_declarations->version)}},
+                 LogLevel::Error);
+        return;
+    }
+    if (const Result<void> checked = checkReferences(declarations->objects); !checked) {
+        noteRefused("declarations", revision, checked.error());
+        return;
+    }
+    m_declarationsRevision = document.revision;
+    m_isChanged = m_isChanged || !m_declarations || m_declarations->version != declarations->version;
+    m_declarations = std::move(*declarations);
+}
+
+std::optional<RosterEntry> Configuration::decode(const StoredDocument &document)
+{
+    const Result<TargetRecord> record = m_format.decodeTarget(document.name, document.spec);
+    if (!record) {
+        noteRefused("target " + document.name, std::to_string(document.revision), record.error());
+        return std::nullopt;
+    }
+    return record->entry;
+}
+
+void Configuration::listTargets(const DocumentList &list, TimePoint now)
+{
+    std::vector<RosterEntry> entries;
+    for (const StoredDocument &it : list.items) {
+        if (std::optional<RosterEntry> entry = decode(it)) {
+            entries.push_back(std::move(*entry));
+        }
+    }
+    m_roster.replaceAll(std::move(entries), now);
+    m_rosterRevision = std::max(m_rosterRevision, list.revision);
+}
+
+void Configuration::changeTarget(const DocumentChange &change, TimePoint now)
+{
+    m_rosterRevision = std::max(m_rosterRevision, change.document.revision);
+    const std::optional<RosterEntry> entry = change.isDeleted ? std::nullopt : decode(change.document);
+    if (entry) {
+        m_roster.put(*entry, now);
+    } else {
+        m_roster.remove(TargetName{change.document.name}, now);
+    }
+}
+
+std::shared_ptr<const Snapshot> Configuration::takeSnapshot(TimePoint now)
+{
+    std::map<ServiceName, std::vector<Target>> targets = m_roster.targets(now);
+    if (!m_declarations || (!m_isChanged && targets == m_targets)) {
+        return nullptr;
+    }
+    std::vector<Object> objects = m_declarations->objects;
+    for (Object &it : objects) {
+        if (auto *service = std::get_if<Service>(&it.spec)) {
+            const auto found = targets.find(ServiceName{it.name});
+            service->targets = found == targets.end() ? std::vector<Target>() : found->second;
+        }
+    }
+    Result<std::shared_ptr<const Snapshot>> snapshot = Snapshot::build(objects, ++m_snapshots);
+    if (!snapshot) {
+        noteRefused("snapshot", std::to_string(m_snapshots), snapshot.error());
+        return nullptr;
+    }
+    m_targets = std::move(targets);
+    m_isChanged = false;
+    return *snapshot;
+}
+
+} // namespace Pollenspoke
--- /dev/null
+++ b/packages/fleet/src/link.cpp
@@ -0,0 +1,175 @@
+#include "link.h"
+
+#include "fleet.pb.h"
+
+namespace Pollenspoke {
+
+namespace {
+
+namespace fleet = ::pollenspoke::fleet;
+namespace net = boost::asio;
+using Udp = net::ip::udp;
+using SystemError = boost::system::error_code;
+using std::chrono::milliseconds;
+
+constexpr auto asTuple = net::as_tuple(net::use_awaitable);
+constexpr auto receivePause = milliseconds(10); // after an error, such as a refused datagram
+
+std::uint32_t toMs(Duration duration)
+{
+    return static_cast<std::uint32_t>(std::max<std::int64_t>(std::chrono::duration_cast<milliseconds>(duration).count(), 0));
+}
+
+void encode(fleet::Datagram &datagram, const StatusReport &report)
+{
+    fleet::Status &status = *datagram.mutable_status();
+    status.set_is_leaving(report.isLeaving);
+    status.set_configuration_revision(report.declarationsRevision);
+    status.set_roster_revision(report.rosterRevision);
+    status.set_has_services(report.news.has_value());
+    if (!report.news) {
+        return;
+    }
+    for (const auto &[name, targets] : *report.news) {
+        fleet::ServiceReport &service = *status.add_services();
+        service.set_service(name.value);
+        for (const TargetNews &it : targets) {
+            fleet::TargetReport &target = *service.add_targets();
+            target.set_target(it.target.value);
+            target.set_in_flight(it.inFlight);
+            target.set_failure_pause_ms(toMs(it.failurePause));
+            target.set_unreachable_pause_ms(toMs(it.unreachablePause));
+        }
+    }
+}
+
+void encode(fleet::Datagram &datagram, const TokenQuestion &question)
+{
+    datagram.mutable_token_ask()->set_id(question.id);
+    datagram.mutable_token_ask()->set_account(question.account.value);
+}
+
+void encode(fleet::Datagram &datagram, const TokenReply &reply)
+{
+    datagram.mutable_token_answer()->set_id(reply.id);
+    datagram.mutable_token_answer()->set_is_granted(reply.isGranted);
+}
+
+StatusReport decodeStatus(const fleet::Status &status)
+{
+    StatusReport report{.isLeaving = status.is_leaving(),
+                        .declarationsRevision = status.configuration_revision(),
+                        .rosterRevision = status.roster_revision()};
+    if (!status.has_services()) {
+        return report;
+    }
+    FleetNews news;
+    for (const fleet::ServiceReport &service : status.services()) {
+        std::vector<TargetNews> &targets = news[ServiceName{service.service()}];
+        for (const fleet::TargetReport &it : service.targets()) {
+            targets.push_back(TargetNews{.target = {it.target()},
+                                         .inFlight = it.in_flight(),
+                                         .failurePause = milliseconds(it.failure_pause_ms()),
+                                         .unreachablePause = milliseconds(it.unreachable_pause_ms())});
+        }
+    }
+    report.news = std::move(news);
+    return report;
+}
+
+} // namespace
+
+std::string encodeDatagram(const VmName &sender, const LinkMessage &message)
+{
+    fleet::Datagram datagram;
+    datagram.set_sender(sender.value);
+    std::visit([&datagram](const auto &it) { encode(datagram, it); }, message);
+    return datagram.SerializeAsString();
+}
+
+std::optional<std::pair<VmName, LinkMessage>> decodeDatagram(std::string_view bytes)
+{
+    fleet::Datagram datagram;
+    if (!datagram.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())) || datagram.sender().empty()) {
+        return std::nullopt;
+    }
+    const VmName sender{datagram.sender()};
+    switch (datagram.body_case()) {
+    case fleet::Datagram::kStatus:
+        return std::pair(sender, LinkMessage(decodeStatus(datagram.status())));
+    case fleet::Datagram::kTokenAsk:
+        return std::pair(sender, LinkMessage(TokenQuestion{datagram.token_ask().id(), {datagram.token_ask().account()}}));
+    case fleet::Datagram::kTokenAnswer:
+        return std::pair(sender, LinkMessage(TokenReply{datagram.token_answer().id(), datagram.token_answer().is_granted()}));
+    case fleet::Datagram::BODY_NOT_SET:
+        break;
+    }
+    return std::nullopt;
+}
+
+Udp::endpoint toDatagramEndpoint(const Address &address)
+{
+    SystemError ec;
+    const net::ip::address ip = net::ip::make_address(address.ip, ec);
+    return ec ? Udp::endpoint() : Udp::endpoint(ip, address.port);
+}
+
+Link::Link(net::io_context &context, VmName self, Address address, Handler handler)
+    : m_context(context)
+    , m_self(std::move(self))
+    , m_address(std::move(address))
+    , m_handler(std::move(handler))
+    , m_socket(context)
+{
+}
+
+Result<void> Link::start()
+{
+    SystemError ec;
+    const Udp::endpoint endpoint = toDatagramEndpoint(m_address);
+    m_socket.open(endpoint.protocol(), ec);
+    if (!ec) {
+        m_socket.bind(endpoint, ec);
+    }
+    if (!ec) {
+        m_socket.non_blocking(true, ec);
+    }
+    if (ec) {
+        return tl::unexpected(Error{.code = ErrorCode::Io, .path = toString(m_address), .detail = ec.message()});
+    }
+    net::co_spawn(m_context, receive(), net::detached);
+    return {};
+}
+
+net::awaitable<void> Link::receive()
+{
+    for (;;) {
+        Udp::endpoint from;
+        const auto [ec, n] = co_await m_socket.async_receive_from(net::buffer(m_buffer), from, asTuple);
+        if (ec == net::error::operation_aborted) {
+            co_return;
+        }
+        if (ec) {
+            net::steady_timer timer(m_context, receivePause);
+            co_await timer.async_wait(asTuple);
+            continue;
+        }
+        if (const auto decoded = decodeDatagram({m_buffer.data(), n})) {
+            m_handler(decoded->first, decoded->second, from);
+        }
+    }
+}
+
+void Link::send(const Address &to, const LinkMessage &message)
+{
+    send(toDatagramEndpoint(to), encodeDatagram(m_self, message));
+}
+
+// A datagram that can't be sent at once is dropped: what it says is said again, or asked elsewhere.
+void Link::send(const Udp::endpoint &to, std::string_view bytes)
+{
+    SystemError ignored;
+    m_socket.send_to(net::buffer(bytes.data(), bytes.size()), to, 0, ignored);
+}
+
+} // namespace Pollenspoke
--- /dev/null
+++ b/packages/fleet/src/link.h
@@ -0,0 +1,62 @@
+/// @file
+/// Datagrams between the Vms of a fleet.
+#pragma once
+
+#include "members.h"
+
+#include <array>
+#include <boost/asio.hpp>
+
+namespace Pollenspoke {
+
+/// What a Vm says of itself and of targets.
+struct StatusReport
+{
+    bool isLeaving = false;
+    std::uint64_t declarationsRevision = 0;
+    std::uint64_t rosterRevision = 0;
+    std::optional<FleetNews> news; // nothing: says nothing of targets this time
+};
+
+/// Asks for one token of an account, and the answer.
+struct TokenQuestion
+{
+    std::uint64_t id = 0;
+    AccountName account;
+};
+struct TokenReply
+{
+    std::uint64_t id = 0;
+    bool isGranted = false;
+};
+
+using LinkMessage = std::variant<StatusReport, TokenQuestion, TokenReply>;
+
+std::string encodeDatagram(const VmName &sender, const LinkMessage &message);
+std::optional<std::pair<VmName, LinkMessage>> decodeDatagram(std::string_view bytes); // nothing: not one of ours
+
+class Link
+{
+public:
+    using Handler = std::function<void(const VmName &sender, const LinkMessage &message, const boost::asio::ip::udp::endpoint &from)>;
+
+    Link(boost::asio::io_context &context, VmName self, Address address, Handler handler);
+
+    Result<void> start(); // Io when the address can't be bound
+    void send(const Address &to, const LinkMessage &message);
+    void send(const boost::asio::ip::udp::endpoint &to, std::string_view bytes); // a datagram made by encodeDatagram()
+
+private:
+    boost::asio::awaitable<void> receive();
+
+    boost::asio::io_context &m_context;
+    VmName m_self;
+    Address m_address;
+    Handler m_handler;
+    boost::asio::ip::udp::socket m_socket;
+    std::array<char, 65536> m_buffer{};
+};
+
+boost::asio::ip::udp::endpoint toDatagramEndpoint(const Address &address);
+
+} // namespace Pollenspoke
--- /dev/null
+++ b/packages/fleet/src/members.cpp
@@ -0,0 +1,101 @@
+#include "members.h"
+
+#include <algorithm>
+
+namespace Pollenspoke {
+
+Members::Members(VmName self, Duration silenceLimit)
+    : m_self(std::move(self))
+    , m_silenceLimit(silenceLimit)
+{
+}
+
+void Members::list(const std::vector<std::pair<RegisteredVm, VmRegistration>> &vms, TimePoint now)
+{
+    std::erase_if(m_members, [&vms](const auto &member) {
+        return std::none_of(vms.begin(), vms.end(), [&member](const auto &it) { return it.first.name == member.first; });
+    });
+    for (const auto &[vm, registration] : vms) {
+        put(vm, registration, now);
+    }
+}
+
+void Members::put(const RegisteredVm &vm, const VmRegistration &registration, TimePoint now)
+{
+    Member &member = m_members.try_emplace(vm.name, Member{.name = vm.name, .heardAt = now}).first->second;
+    member.registration = registration;
+    member.registeredAt = vm.registeredAt;
+}
+
+void Members::remove(const VmName &vm)
+{
+    m_members.erase(vm);
+}
+
+void Members::noteReport(const VmName &vm, bool isLeaving, TimePoint now)
+{
+    const auto it = m_members.find(vm);
+    if (it != m_members.end()) {
+        it->second.heardAt = now;
+        it->second.isLeaving = isLeaving;
+    }
+}
+
+const Member *Members::find(const VmName &vm) const
+{
+    const auto it = m_members.find(vm);
+    return it == m_members.end() ? nullptr : &it->second;
+}
+
+std::vector<const Member *> Members::others() const
+{
+    std::vector<const Member *> found;
+    for (const auto &[name, it] : m_members) {
+        if (name != m_self) {
+            found.push_back(&it);
+        }
+    }
+    return found;
+}
+
+bool Members::isLive(const Member &member, TimePoint now) const
+{
+    return member.name == m_self ? !m_isLeaving : !member.isLeaving && now - member.heardAt < m_silenceLimit;
+}
+
+std::vector<VmName> Members::holders() const
+{
+    std::vector<RegisteredVm> vms;
+    vms.reserve(m_members.size());
+    for (const auto &[name, it] : m_members) {
+        vms.push_back({.name = name, .failureDomain = it.registration.failureDomain, .registeredAt = it.registeredAt});
+    }
+    const std::size_t seats = seatCount(vms.size());
+    return assignSeats(std::move(vms), seats);
+}
+
+std::vector<VmName> Members::liveHolders(TimePoint now) const
+{
+    std::vector<VmName> live = holders();
+    std::erase_if(live, [this, now](const VmName &it) { return !isLive(m_members.at(it), now); });
+    return live;
+}
+
+// Holders of seats; others only when half of these are gone.
+std::vector<Address> Members::callerAddresses(TimePoint now) const
+{
+    std::vector<VmName> chosen = liveHolders(now);
+    const std::size_t wanted = seatCount(m_members.size()) / 2;
+    for (auto it = m_members.begin(); it != m_members.end() && chosen.size() < wanted; ++it) {
+        if (isLive(it->second, now) && std::find(chosen.begin(), chosen.end(), it->first) == chosen.end()) {
+            chosen.push_back(it->first);
+        }
+    }
+    std::vector<Address> addresses;
+    for (const VmName &it : chosen) {
+        addresses.push_back(m_members.at(it).registration.callers);
+    }
+    return addresses;
+}
+
+} // namespace Pollenspoke
--- /dev/null
+++ b/packages/fleet/src/members.h
@@ -0,0 +1,48 @@
+/// @file
+/// The other Vms: who registered, who was heard of lately, who holds a seat, and where callers should connect.
+#pragma once
+
+#include <pollenspoke/fleet.h>
+
+namespace Pollenspoke {
+
+/// One registered Vm.
+struct Member
+{
+    VmName name;
+    VmRegistration registration;
+    std::uint64_t registeredAt = 0; // store revision
+    TimePoint heardAt;              // of its last report; at first, when it was first listed
+    bool isLeaving = false;
+};
+
+/// Touched on one event loop only.
+class Members
+{
+public:
+    static constexpr Duration freshTime = std::chrono::milliseconds(1500); // a Vm heard of within it likely answers at once
+
+    Members(VmName self, Duration silenceLimit);
+
+    void list(const std::vector<std::pair<RegisteredVm, VmRegistration>> &vms, TimePoint now); // replaces all
+    void put(const RegisteredVm &vm, const VmRegistration &registration, TimePoint now);
+    void remove(const VmName &vm);
+    void noteReport(const VmName &vm, bool isLeaving, TimePoint now);
+    void setLeaving() { m_isLeaving = true; } // this Vm
+
+    bool isSelf(const VmName &vm) const { return vm == m_self; }
+    const Member *find(const VmName &vm) const;
+    std::vector<const Member *> others() const;
+    std::vector<VmName> holders() const;                         // of seats, by registrations alone
+    std::vector<VmName> liveHolders(TimePoint now) const;        // those that may get callers
+    std::vector<Address> callerAddresses(TimePoint now) const;   // where callers should connect
+    bool isLive(const Member &member, TimePoint now) const;
+
+private:
+    VmName m_self;
+    Duration m_silenceLimit;
+    bool m_isLeaving = false;
+    std::map<VmName, Member> m_members; // this Vm included
+};
+
+} // namespace Pollenspoke
--- a/packages/policy/include/pollenspoke/policy.h
+++ b/packages/policy/include/pollenspoke/policy.h
@@ -12,6 +12,9 @@
 /// - [7] Rate and burst across the fleet (QuotaOptions, QuotaEvent, QuotaCommand, QuotaLedger)
 /// - [8] Balancing of one service  (AttemptEnd, BalancerOptions, TargetNews, ServiceBalancer)
 /// - [9] Repeats of one service    (RetryBudgetOptions, RetryBudget)
+/// - [10] Seats                    (RegisteredVm, seatCount(), assignSeats())
+/// - [11] Tokens of an account     (QuotaPoolOptions, QuotaPool)
+/// - [12] Roster of targets        (RosterEntry, TargetRoster)
 ///
 /// Example:
 /// @code
@@ -806,4 +809,118 @@
     std::optional<TimePoint> m_refilledAt;
 };
 
+//-----------------------------------------------------------------------------
+// [10] Seats
+//-----------------------------------------------------------------------------
+// Callers are sent to a part of the Vms, the seat holders: these see enough requests to judge targets, and hold the tokens
+// of all accounts in equal shares. Earlier registrations keep their seats, so that a new Vm moves nobody's tokens.
+
+struct RegisteredVm
+{
+    VmName name;
+    FailureDomain failureDomain;
+    std::uint64_t registeredAt = 0; // store revision of the registration
+    auto operator<=>(const RegisteredVm &) const = default;
+};
+
+std::size_t seatCount(std::size_t vms);                                           // seats of a fleet of so many Vms
+std::vector<VmName> assignSeats(std::vector<RegisteredVm> vms, std::size_t seats); // in turn over failure domains, earliest first
+
+//-----------------------------------------------------------------------------
+// [11] Tokens of an account
+//-----------------------------------------------------------------------------
+// Some seat holders, the homes of an account, refill equal shares of its rate into buckets of their own. A Vm without a token
+// asks homes for one of theirs. Tokens move and are never made, so no cut, pause, crash or lost message lets the fleet
+// admit more than the rate and burst; a lost answer only loses its token.
+
+struct QuotaPoolOptions
+{
+    double rateFactor = 1.05;                           // of the account's rate and burst; the platform tolerates 1.1
+    double extraBurst = 8;                              // tokens over all homes beyond the burst; the platform tolerates 20
+    double leastBurst = 1.5;                            // of one home: an account of small burst has fewer homes
+    double firstTokens = 0.5;                           // in the bucket of a new process, so that restarts make no burst
+    Duration askPause = std::chrono::milliseconds(60);  // after no seat holder had a token
+    auto operator<=>(const QuotaPoolOptions &) const = default;
+};
+
+enum class QuotaDecision {
+    Admit,  // a token was taken
+    Ask,    // none is here: another seat holder may have one
+    Refuse, // none is here, and lately nobody had one
+};
+
+class QuotaPool
+{
+public:
+    explicit QuotaPool(QuotaPoolOptions options = {});
+
+    void setSeats(const VmName &self, std::vector<VmName> holders, TimePoint now); // equal on all Vms, by assignSeats()
+    std::vector<VmName> homes(const AccountName &account, const Limits &limits) const;
+    QuotaDecision decide(const AccountName &account, const Limits &limits, TimePoint now);
+    bool lend(const AccountName &account, const Limits &limits, TimePoint now); // true: one token was taken out for another Vm
+    void noteNoneLent(const AccountName &account, TimePoint now);
+    Duration retryAfter(const AccountName &account, const Limits &limits, TimePoint now) const; // until tokens are expected
+
+private:
+    struct Account
+    {
+        TokenBucket bucket;
+        Limits limits;              // of the account, from which the bucket's follow
+        std::uint64_t seatsVersion; // at which the bucket's limits were set
+        TimePoint askAgainAt;
+    };
+
+    Limits share(const AccountName &name, const Limits &limits) const;
+    Account &account(const AccountName &name, const Limits &limits, TimePoint now);
+
+    QuotaPoolOptions m_options;
+    VmName m_self;
+    std::vector<VmName> m_holders;
+    std::uint64_t m_seatsVersion = 0;
+    std::map<AccountName, Account> m_accounts;
+};
+
+//-----------------------------------------------------------------------------
+// [12] Roster of targets
+//-----------------------------------------------------------------------------
+
+/// A target as it registered itself with the platform.
+struct RosterEntry
+{
+    ServiceName service;
+    Target target;
+    auto operator<=>(const RosterEntry &) const = default;
+};
+
+/// Which targets there are, by what the platform's store says. Registrations lapse while the store is away although their
+/// targets live; such a target stays until the store has been back for a while.
+class TargetRoster
+{
+public:
+    static constexpr Duration longOutage = std::chrono::milliseconds(1500);  // a shorter one lets no registration lapse
+    static constexpr Duration returnGrace = std::chrono::milliseconds(2200); // registrations are back 2 s after the store is
+
+    void replaceAll(std::vector<RosterEntry> entries, TimePoint now); // a list from the store
+    void put(RosterEntry entry, TimePoint now);
+    void remove(const TargetName &name, TimePoint now);
+    void noteStoreLost(TimePoint now);  // a call failed
+    void noteStoreHeard(TimePoint now); // a call was answered
+
+    std::map<ServiceName, std::vector<Target>> targets(TimePoint now); // drops those whose grace is over
+    std::optional<TimePoint> nextDrop() const;                         // when targets() changes without another call
+
+private:
+    struct Kept
+    {
+        RosterEntry entry;
+        std::optional<TimePoint> dropAt; // its registration is gone
+    };
+
+    TimePoint dropTime(TimePoint now) const;
+
+    std::map<TargetName, Kept> m_entries;
+    std::optional<TimePoint> m_lostAt;
+    TimePoint m_graceUntil;
+};
+
 } // namespace Pollenspoke
--- /dev/null
+++ b/packages/policy/src/quota_pool.cpp
@@ -0,0 +1,105 @@
+#include <algorithm>
+#include <pollenspoke/policy.h>
+
+namespace Pollenspoke {
+
+namespace {
+
+constexpr double unlimitedRate = 1e6; // requests/s: the highest rate that can be declared stands for no limit
+constexpr Duration longestRetryAfter = std::chrono::seconds(2);
+
+} // namespace
+
+QuotaPool::QuotaPool(QuotaPoolOptions options)
+    : m_options(options)
+{
+}
+
+std::vector<VmName> QuotaPool::homes(const AccountName &account, const Limits &limits) const
+{
+    const double tokens = limits.burst * m_options.rateFactor + m_options.extraBurst;
+    const auto n = std::min(static_cast<std::size_t>(std::max(tokens / m_options.leastBurst, 1.0)), m_holders.size());
+    std::vector<VmName> homes = m_holders;
+    std::sort(homes.begin(), homes.end(), [&account](const VmName &left, const VmName &right) {
+        return homeScore(account, left) > homeScore(account, right);
+    });
+    homes.resize(n);
+    return homes;
+}
+
+Limits QuotaPool::share(const AccountName &name, const Limits &limits) const
+{
+    const std::vector<VmName> sharers = homes(name, limits);
+    if (std::find(sharers.begin(), sharers.end(), m_self) == sharers.end()) {
+        return {};
+    }
+    const auto n = static_cast<double>(sharers.size());
+    return Limits{.ratePerSecond = limits.ratePerSecond * m_options.rateFactor / n,
+                  .burst = (limits.burst * m_options.rateFactor + m_options.extraBurst) / n};
+}
+
+QuotaPool::Account &QuotaPool::account(const AccountName &name, const Limits &limits, TimePoint now)
+{
+    const auto it = m_accounts.find(name);
+    if (it == m_accounts.end()) {
+        Account fresh{.bucket = TokenBucket(share(name, limits), m_options.firstTokens, now), .limits = limits, .seatsVersion = m_seatsVersion};
+        return m_accounts.emplace(name, std::move(fresh)).first->second;
+    }
+    Account &known = it->second;
+    if (known.limits != limits || known.seatsVersion != m_seatsVersion) {
+        known.bucket.setLimits(share(name, limits), now);
+        known.limits = limits;
+        known.seatsVersion = m_seatsVersion;
+    }
+    return known;
+}
+
+void QuotaPool::setSeats(const VmName &self, std::vector<VmName> holders, TimePoint now)
+{
+    if (self == m_self && holders == m_holders) {
+        return;
+    }
+    m_self = self;
+    m_holders = std::move(holders);
+    ++m_seatsVersion;
+    for (auto &[name, it] : m_accounts) {
+        account(name, it.limits, now); // a home that lost its seat drops its tokens at once
+    }
+}
+
+QuotaDecision QuotaPool::decide(const AccountName &name, const Limits &limits, TimePoint now)
+{
+    if (limits.ratePerSecond >= unlimitedRate) {
+        return QuotaDecision::Admit;
+    }
+    Account &it = account(name, limits, now);
+    if (it.bucket.take(now)) {
+        return QuotaDecision::Admit;
+    }
+    return now < it.askAgainAt ? QuotaDecision::Refuse : QuotaDecision::Ask;
+}
+
+bool QuotaPool::lend(const AccountName &name, const Limits &limits, TimePoint now)
+{
+    return limits.ratePerSecond < unlimitedRate && account(name, limits, now).bucket.take(now);
+}
+
+void QuotaPool::noteNoneLent(const AccountName &name, TimePoint now)
+{
+    const auto it = m_accounts.find(name);
+    if (it != m_accounts.end()) {
+        it->second.askAgainAt = now + m_options.askPause;
+    }
+}
+
+// The account is over its rate as a whole, so what comes back should be spread over the time that its burst takes to refill.
+Duration QuotaPool::retryAfter(const AccountName &name, const Limits &limits, TimePoint now) const
+{
+    const auto it = m_accounts.find(name);
+    if (it == m_accounts.end() || limits.ratePerSecond <= 0) {
+        return longestRetryAfter;
+    }
+    return std::clamp<Duration>(it->second.bucket.waitForToken(now), std::chrono::milliseconds(200), longestRetryAfter);
+}
+
+} // namespace Pollenspoke
--- a/packages/proxy/include/pollenspoke/proxy.h
+++ b/packages/proxy/include/pollenspoke/proxy.h
@@ -161,6 +161,7 @@
     void applyNews(const VmName &vm, const FleetNews &news); // what another Vm says of targets
     FleetNews news() const;                                  // what this Vm has to say of them
     void setRetryShare(double share);                        // of the reserve of retry budgets that this Vm may use, 0 to 1
+    void setVmCount(std::uint32_t n);                        // Vms that share each target's connections, 1 at least
     void applyVms(const std::vector<VmEntry> &vms);               // for the address answer and the share of connections
 
     void beginLeave();                          // leaves the address answer; requests are served on
--- a/packages/proxy/src/proxy.cpp
+++ b/packages/proxy/src/proxy.cpp
@@ -264,6 +264,11 @@
     m_impl->dispatcher.targets().setRetryShare(share);
 }
 
+void Proxy::setVmCount(std::uint32_t n)
+{
+    m_impl->dispatcher.setVmCount(n);
+}
+
 void Proxy::applyVms(const std::vector<VmEntry> &vms)
 {
     {
