--- a/packages/base/include/pollenspoke/base.h
+++ b/packages/base/include/pollenspoke/base.h
@@ -221,6 +221,8 @@
     AnswerDiscarded         = 3002, // a cut, crossed or surplus answer was thrown away
     SilentConnectionsClosed = 3003, // open connections to a target went silent and were closed
     AcceptFailed            = 3004, // a caller's connection can't be accepted
+    AttemptFailed           = 3005, // one attempt at a target failed; with the request's id
+    FailurePassedOn         = 3006, // a target's own failure went to the caller
     TargetEjected           = 4001, // with the evidence
     TargetReturned          = 4002, // with the evidence
     FloorReached            = 4003, // an ejection was held back by the floor
--- a/packages/base/src/events.cpp
+++ b/packages/base/src/events.cpp
@@ -30,6 +30,8 @@
     EventRow{Event::AnswerDiscarded, "answer_discarded"},
     EventRow{Event::SilentConnectionsClosed, "silent_connections_closed"},
     EventRow{Event::AcceptFailed, "accept_failed"},
+    EventRow{Event::AttemptFailed, "attempt_failed"},
+    EventRow{Event::FailurePassedOn, "failure_passed_on"},
     EventRow{Event::TargetEjected, "target_ejected"},
     EventRow{Event::TargetReturned, "target_returned"},
     EventRow{Event::FloorReached, "floor_reached"},
--- a/packages/fleet/src/fleet_admission.cpp
+++ b/packages/fleet/src/fleet_admission.cpp
@@ -118,6 +118,11 @@
 void FleetAdmission::applySnapshot(std::shared_ptr<const Snapshot> snapshot)
 {
     m_snapshot = std::move(snapshot);
+    const std::lock_guard lock(m_mutex);
+    const TimePoint now = m_clock.now();
+    for (const auto &[name, account] : m_snapshot->accounts()) {
+        m_pool.addAccount(name, account.limits, now);
+    }
 }
 
 void FleetAdmission::setSeats(const VmName &self, std::vector<VmName> holders)
--- a/packages/fleet/src/fleet_vm.cpp
+++ b/packages/fleet/src/fleet_vm.cpp
@@ -13,6 +13,7 @@
 constexpr auto asTuple = net::as_tuple(net::use_awaitable);
 constexpr auto registerPause = std::chrono::seconds(1);  // after a failed try to register
 constexpr auto rosterStep = std::chrono::milliseconds(100); // longest delay of a target's drop after its time
+constexpr auto newsStep = std::chrono::milliseconds(20); // delay of urgent news
 constexpr auto fenceTime = std::chrono::seconds(30);     // a Vm that heard of no other one for so long uses no seat
 constexpr auto goneTime = std::chrono::seconds(90);      // a Vm that nobody heard of for so long loses its registration
 
@@ -70,6 +71,8 @@
     net::awaitable<void> watchRoster();
     net::awaitable<void> reportToAll();
     net::awaitable<void> reportNews();
+    bool isUrgent(const FleetNews &news) const;
+    bool isMoved(const FleetNews &news) const;
     void report(const std::vector<const Member *> &to, std::optional<FleetNews> news);
     void takeMessage(const VmName &sender, const LinkMessage &message, const net::ip::udp::endpoint &from);
     net::awaitable<void> removeGone();
@@ -361,17 +364,52 @@
     }
 }
 
-// To seat holders, while there is something to say, and once when there is nothing any more.
+// What others should know at once, and what may wait: a failure changes where they send work, a count of requests shifts it.
+bool FleetVm::Impl::isUrgent(const FleetNews &news) const
+{
+    for (const auto &[service, targets] : news) {
+        const auto last = lastNews.find(service);
+        for (const TargetNews &it : targets) {
+            const auto isSame = [&it](const TargetNews &other) { return other.target == it.target && other.failures >= it.failures; };
+            if (it.failures != 0 && (last == lastNews.end() || std::none_of(last->second.begin(), last->second.end(), isSame))) {
+                return true;
+            }
+        }
+    }
+    return false;
+}
+
+bool FleetVm::Impl::isMoved(const FleetNews &news) const
+{
+    const auto counts = [](const FleetNews &of) {
+        std::map<std::pair<ServiceName, TargetName>, std::uint32_t> found;
+        for (const auto &[service, targets] : of) {
+            for (const TargetNews &it : targets) {
+                if (it.inFlight != 0) {
+                    found[{service, it.target}] = it.inFlight;
+                }
+            }
+        }
+        return found;
+    };
+    return counts(news) != counts(lastNews);
+}
+
+// To seat holders: failures at once, counts of requests now and then, and all of it again before the others forget it.
 net::awaitable<void> FleetVm::Impl::reportNews()
 {
     net::steady_timer timer(context);
+    TimePoint sentAt;
     for (;;) {
-        timer.expires_after(options.newsPeriod);
+        timer.expires_after(newsStep);
         co_await timer.async_wait(net::use_awaitable);
         FleetNews news = proxy.news();
-        if (news.empty() && lastNews.empty()) {
+        const Duration since = clock.now() - sentAt;
+        const bool isDue = isUrgent(news) || (since >= options.newsPeriod && isMoved(news)) || (since >= options.statusPeriod && !news.empty());
+        if (!isDue) {
             continue;
         }
+        sentAt = clock.now();
         lastNews = news;
         std::vector<const Member *> to;
         for (const VmName &it : members.liveHolders(clock.now())) {
--- a/packages/fleet/src/link.cpp
+++ b/packages/fleet/src/link.cpp
@@ -37,6 +37,8 @@
             fleet::TargetReport &target = *service.add_targets();
             target.set_target(it.target.value);
             target.set_in_flight(it.inFlight);
+            target.set_failures(it.failures);
+            target.set_avoidance_ms(toMs(it.avoidance));
             target.set_failure_pause_ms(toMs(it.failurePause));
             target.set_unreachable_pause_ms(toMs(it.unreachablePause));
         }
@@ -69,7 +71,9 @@
         for (const fleet::TargetReport &it : service.targets()) {
             targets.push_back(TargetNews{.target = {it.target()},
                                          .inFlight = it.in_flight(),
+                                         .failures = it.failures(),
                                          .failurePause = milliseconds(it.failure_pause_ms()),
+                                         .avoidance = milliseconds(it.avoidance_ms()),
                                          .unreachablePause = milliseconds(it.unreachable_pause_ms())});
         }
     }
--- a/packages/policy/include/pollenspoke/policy.h
+++ b/packages/policy/include/pollenspoke/policy.h
@@ -675,6 +675,7 @@
 {
     Duration firstPause = std::chrono::milliseconds(2000);    // without work after a failure
     Duration longestPause = std::chrono::milliseconds(5000);  // after failures in a row, each pause is longer by half
+    double avoidFactor = 2.5;                                 // of a pause: for so long the target gets work only when no other has room
     Duration declinePause = std::chrono::milliseconds(150);   // after a target declined: its queue is full
     Duration firstLatency = std::chrono::milliseconds(200);   // assumed before anything is known of a service
     Duration memory = std::chrono::seconds(5);                // half-life of a target's own latency towards that of its service
@@ -693,7 +694,9 @@
 {
     TargetName target;
     std::uint32_t inFlight = 0;    // requests of that Vm that it works on
+    std::uint32_t failures = 0;    // in a row
     Duration failurePause{0};      // left of a pause because of failures
+    Duration avoidance{0};         // left of the time after them in which it gets work only when no other target has room
     Duration unreachablePause{0};  // left of a pause because it can't be reached or is silent, which may be the Vm's own fault
     auto operator<=>(const TargetNews &) const = default;
 };
@@ -740,6 +743,7 @@
     {
         std::uint32_t inFlight = 0;
         TimePoint failureUntil;
+        TimePoint avoidUntil;
         TimePoint unreachableUntil;
         TimePoint expiresAt;
     };
@@ -750,6 +754,7 @@
         std::vector<TimePoint> open; // start of each request of this Vm
         std::map<VmName, Remote> remotes;
         TimePoint failureUntil;
+        TimePoint avoidUntil;
         TimePoint unreachableUntil;
         TimePoint declinedUntil;
         std::uint32_t failures = 0; // in a row
@@ -766,8 +771,10 @@
     double expectedLatency(const Member &member, TimePoint now) const;
     double score(const Member &member, const ChoiceRequest &request, TimePoint now) const;
     TimePoint floorTime(TimePoint now) const;
-    std::vector<Member *> candidates(const ChoiceRequest &request, TimePoint now, bool takesDoubtful);
+    bool isAvoided(const Member &member, TimePoint now) const;
+    std::vector<Member *> candidates(const ChoiceRequest &request, TimePoint now, bool takesAvoided);
     void startPause(Member &member, TimePoint &until, TimePoint now);
+    Duration longestAvoidance() const;
 
     BalancerOptions m_options;
     std::vector<Member> m_members;
@@ -794,19 +801,28 @@
 public:
     explicit RetryBudget(RetryBudgetOptions options = {});
 
-    void setShare(double share); // of the reserve, that this Vm may use; 0 to 1
-    void noteRequest();          // a first request
-    bool takeRepeat();           // false: none left
-    double left() const { return m_tokens; }
-    void refill(TimePoint now);  // at any time; the reserve comes back over a window
+    void setShare(double share);       // of the reserve, that this Vm may use; 0 to 1
+    void noteRequest(TimePoint now);   // a first request
+    bool takeRepeat(TimePoint now);    // false: none left
+    double left(TimePoint now) const;  // repeats that may follow now
 
 private:
-    double capacity() const;
+    static constexpr std::size_t stepCount = 20; // of a window
+
+    struct Step
+    {
+        std::uint32_t requests = 0;
+        std::uint32_t repeats = 0;
+    };
+
+    void advance(TimePoint now);
 
     RetryBudgetOptions m_options;
     double m_share = 1;
-    double m_tokens = 0;
-    std::optional<TimePoint> m_refilledAt;
+    std::array<Step, stepCount> m_steps; // ring; m_newest is the present one
+    std::size_t m_newest = 0;
+    std::optional<TimePoint> m_startedAt; // of the first step
+    TimePoint m_stepAt;                   // start of the present step
 };
 
 //-----------------------------------------------------------------------------
@@ -856,6 +872,7 @@
 
     void setSeats(const VmName &self, std::vector<VmName> holders, TimePoint now); // equal on all Vms, by assignSeats()
     std::vector<VmName> homes(const AccountName &account, const Limits &limits) const;
+    void addAccount(const AccountName &account, const Limits &limits, TimePoint now); // its tokens refill from now on
     QuotaDecision decide(const AccountName &account, const Limits &limits, TimePoint now);
     bool lend(const AccountName &account, const Limits &limits, TimePoint now); // true: one token was taken out for another Vm
     void noteNoneLent(const AccountName &account, TimePoint now);
--- a/packages/policy/src/balancer.cpp
+++ b/packages/policy/src/balancer.cpp
@@ -53,9 +53,13 @@
     }
     for (const TargetNews &it : news) {
         if (Member *member = find(it.target)) {
-            member->isOnTrial = member->isOnTrial || it.failurePause > Duration(0);
+            if (it.failurePause > Duration(0)) {
+                member->isOnTrial = true;
+                member->failures = std::max(member->failures, it.failures);
+            }
             member->remotes[vm] = Remote{.inFlight = it.inFlight,
                                          .failureUntil = now + std::min(it.failurePause, m_options.longestPause),
+                                         .avoidUntil = now + std::min(it.avoidance, longestAvoidance()),
                                          .unreachableUntil = now + std::min(it.unreachablePause, m_options.longestPause),
                                          .expiresAt = now + m_options.newsTerm};
         }
@@ -67,11 +71,14 @@
     std::vector<TargetNews> news;
     for (const Member &it : m_members) {
         const Duration failurePause = std::max(it.failureUntil - now, Duration(0));
+        const Duration avoidance = std::max(it.avoidUntil - now, Duration(0));
         const Duration unreachablePause = std::max(it.unreachableUntil - now, Duration(0));
-        if (!it.open.empty() || failurePause > Duration(0) || unreachablePause > Duration(0)) {
+        if (!it.open.empty() || avoidance > Duration(0) || unreachablePause > Duration(0)) {
             news.push_back(TargetNews{.target = it.target.name,
                                       .inFlight = static_cast<std::uint32_t>(it.open.size()),
+                                      .failures = it.failures,
                                       .failurePause = failurePause,
+                                      .avoidance = avoidance,
                                       .unreachablePause = unreachablePause});
         }
     }
@@ -105,6 +112,15 @@
     return witnesses >= m_options.pathWitnesses ? std::max(until, missedUntil) : until;
 }
 
+// It failed lately, or a request has been open there for long: it gets work only when no other target has room.
+bool ServiceBalancer::isAvoided(const Member &member, TimePoint now) const
+{
+    const bool isAvoidedElsewhere = std::any_of(member.remotes.begin(), member.remotes.end(), [&member, now](const auto &it) {
+        return it.second.avoidUntil > now;
+    });
+    return member.avoidUntil > now || isAvoidedElsewhere || isDoubtful(member, now);
+}
+
 // A request that has been open for much longer than usual: the target may be stuck, or only slow.
 bool ServiceBalancer::isDoubtful(const Member &member, TimePoint now) const
 {
@@ -170,14 +186,14 @@
     return std::max(*last, now);
 }
 
-std::vector<ServiceBalancer::Member *> ServiceBalancer::candidates(const ChoiceRequest &request, TimePoint now, bool takesDoubtful)
+std::vector<ServiceBalancer::Member *> ServiceBalancer::candidates(const ChoiceRequest &request, TimePoint now, bool takesAvoided)
 {
     const TimePoint keptUntil = floorTime(now);
     std::vector<Member *> found;
     std::vector<Member *> triedBefore;
     for (Member &it : m_members) {
         const bool mayWork = it.target.state == TargetState::Serving && pausedUntil(it, now) <= keptUntil;
-        if (!mayWork || !hasRoom(it, request, now) || (!takesDoubtful && isDoubtful(it, now))) {
+        if (!mayWork || !hasRoom(it, request, now) || (!takesAvoided && isAvoided(it, now))) {
             continue;
         }
         const bool isTried = std::find(request.tried.begin(), request.tried.end(), it.target.name) != request.tried.end();
@@ -221,9 +237,15 @@
     ++member.failures;
     const auto length = std::chrono::duration_cast<Duration>(m_options.firstPause * factor);
     until = now + std::min(length, m_options.longestPause);
+    member.avoidUntil = now + std::chrono::duration_cast<Duration>((until - now) * m_options.avoidFactor);
     member.isOnTrial = true;
 }
 
+Duration ServiceBalancer::longestAvoidance() const
+{
+    return std::chrono::duration_cast<Duration>(m_options.longestPause * m_options.avoidFactor);
+}
+
 std::optional<TargetPause>
 ServiceBalancer::end(const TargetName &target, AttemptEnd end, Duration latency, TimePoint startedAt, TimePoint now)
 {
@@ -239,6 +261,7 @@
     case AttemptEnd::Answered:
         member->failures = 0;
         member->isOnTrial = false;
+        member->avoidUntil = {};
         member->answeredAt = now;
         member->latency = movingAverage(member->latency, static_cast<double>(latency.count()), latencyWeight);
         m_latency = movingAverage(m_latency, static_cast<double>(latency.count()), serviceLatencyWeight);
--- a/packages/policy/src/quota_pool.cpp
+++ b/packages/policy/src/quota_pool.cpp
@@ -67,6 +67,11 @@
     }
 }
 
+void QuotaPool::addAccount(const AccountName &name, const Limits &limits, TimePoint now)
+{
+    account(name, limits, now);
+}
+
 QuotaDecision QuotaPool::decide(const AccountName &name, const Limits &limits, TimePoint now)
 {
     if (limits.ratePerSecond >= unlimitedRate) {
--- a/packages/policy/src/retry_budget.cpp
+++ b/packages/policy/src/retry_budget.cpp
@@ -5,55 +5,69 @@
 
 namespace {
 
-// Parts of the reserve: what a new process may use at once, and what it may save up. A window in which every Vm restarts
-// sees both, and what came back meanwhile: 0.2 + 0.4 + 0.4.
-constexpr double firstPart = 0.2;
-constexpr double savedPart = 0.4;
-constexpr double refilledPart = 0.4;
+// Vms count at their own moments, so each stays a little short of its part.
+constexpr double ratioPart = 0.95;
 
-// Tokens for first requests are given out slightly short of the ratio, since Vms count at their own moments.
-constexpr double ratioMargin = 0.9;
+// Of the reserve. A window in which every Vm restarts sees both.
+constexpr double laterPart = 0.65; // once a process has run for a window
+constexpr double firstPart = 0.3;  // before
 
 } // namespace
 
 RetryBudget::RetryBudget(RetryBudgetOptions options)
     : m_options(options)
+    , m_steps()
 {
 }
 
-double RetryBudget::capacity() const
-{
-    return std::max(1.0, m_options.reserve * savedPart * m_share);
-}
-
 void RetryBudget::setShare(double share)
 {
     m_share = share;
-    m_tokens = std::min(m_tokens, capacity());
 }
 
-void RetryBudget::refill(TimePoint now)
+void RetryBudget::advance(TimePoint now)
 {
-    if (!m_refilledAt) {
-        m_tokens = std::min(capacity(), m_options.reserve * firstPart * m_share);
-    } else {
-        const double windows = std::chrono::duration<double>(now - *m_refilledAt) / std::chrono::duration<double>(m_options.window);
-        m_tokens = std::min(capacity(), m_tokens + m_options.reserve * refilledPart * m_share * windows);
+    if (!m_startedAt) {
+        m_startedAt = now;
+        m_stepAt = now;
+    }
+    const Duration step = m_options.window / static_cast<int>(stepCount);
+    if (now - m_stepAt > m_options.window + step) {
+        m_steps = {};
+        m_stepAt = now;
+    }
+    for (; now - m_stepAt >= step; m_stepAt += step) {
+        m_newest = (m_newest + 1) % stepCount;
+        m_steps[m_newest] = {};
     }
-    m_refilledAt = now;
 }
 
-void RetryBudget::noteRequest()
+void RetryBudget::noteRequest(TimePoint now)
 {
-    m_tokens = std::min(capacity(), m_tokens + m_options.ratio * ratioMargin);
+    advance(now);
+    ++m_steps[m_newest].requests;
+}
+
+double RetryBudget::left(TimePoint now) const
+{
+    double requests = 0;
+    double repeats = 0;
+    for (const Step &it : m_steps) {
+        requests += it.requests;
+        repeats += it.repeats;
+    }
+    const bool isNew = !m_startedAt || now - *m_startedAt < m_options.window;
+    const double reserve = m_options.reserve * m_share * (isNew ? firstPart : laterPart);
+    return requests * m_options.ratio * ratioPart + reserve - repeats;
 }
 
-bool RetryBudget::takeRepeat()
+bool RetryBudget::takeRepeat(TimePoint now)
 {
-    if (m_tokens < 1) {
+    advance(now);
+    if (left(now) < 1) {
         return false;
     }
-    m_tokens -= 1;
+    ++m_steps[m_newest].repeats;
     return true;
 }
 
--- a/packages/proxy/src/dispatcher.cpp
+++ b/packages/proxy/src/dispatcher.cpp
@@ -173,11 +173,20 @@
         AttemptResult result = co_await tryOnce(request, progress, trace, reply);
         trace.timeAtTargets += m_parts.clock.now() - startedAt;
         if (const auto *failure = std::get_if<AttemptFailure>(&result)) {
+            logFailure(request, progress, *failure, m_parts.clock.now() - startedAt);
             noteFailure(*failure, progress);
             continue;
         }
         progress.place = TargetPlace(); // a slow caller takes no target's time
         if (auto *answer = std::get_if<WholeAnswer>(&result)) {
+            if (answer->header.result_int() >= firstServerError) {
+                logRequestEvent(Event::FailurePassedOn,
+                                {{"request_id", request.requestId},
+                                 {"service", progress.id.service.value},
+                                 {"target", progress.id.target.value},
+                                 {"status", std::to_string(answer->header.result_int())},
+                                 {"attempt", std::to_string(progress.plan.attempt)}});
+            }
             const bool hasNoBody = isBodiless(request.message.method(), answer->header.result_int());
             if (co_await reply.sendWhole(answer->header, std::move(answer->body), hasNoBody)) {
                 m_parts.metrics.count(Counter::AnswersWhole);
@@ -188,6 +197,18 @@
     co_return refuseAfter(request, trace, progress);
 }
 
+void Dispatcher::logFailure(const DispatchRequest &request, const Progress &progress, const AttemptFailure &failure, Duration taken)
+{
+    logRequestEvent(Event::AttemptFailed,
+                    {{"request_id", request.requestId},
+                     {"service", progress.id.service.value},
+                     {"target", progress.id.target.value},
+                     {"reason", std::string(retryReasonName(failure.reason))},
+                     {"may_have_run", failure.mayHaveRun ? "yes" : "no"},
+                     {"attempt", std::to_string(progress.plan.attempt)},
+                     {"after_ms", std::to_string(std::chrono::duration_cast<milliseconds>(taken).count())}});
+}
+
 Refusal Dispatcher::refuseAfter(const DispatchRequest &request, const DispatchTrace &trace, const Progress &progress) const
 {
     const bool isPastDeadline = m_parts.clock.now() >= request.deadline;
@@ -266,6 +287,13 @@
     progress.keepsTarget = !failure.blamesTarget;
     if (!failure.blamesTarget) {
         progress.freshOnly = true;
+        const bool wasSilent = failure.reason == RetryReason::StaleConnection && failure.end == AttemptEnd::Silent;
+        if (wasSilent && progress.plan.attempt < progress.plan.maxAttempts) {
+            // Time was lost already, so another target is asked, if there is one.
+            progress.keepsTarget = false;
+            progress.tried.push_back(progress.id.target);
+            ++progress.plan.attempt;
+        }
         return;
     }
     progress.place.end(failure.end);
@@ -284,7 +312,8 @@
     const DispatchOptions &options = m_options.dispatch;
     if (options.patienceFactor > 0) {
         const auto usual = m_targets.usualLatency(request.resolved.serviceName) * options.patienceFactor;
-        plan.patience = std::max<Duration>(std::chrono::duration_cast<Duration>(usual), milliseconds(options.shortestPatienceMs));
+        const milliseconds objective(request.resolved.route->objectiveMs);
+        plan.patience = std::max({std::chrono::duration_cast<Duration>(usual), Duration(objective), Duration(milliseconds(options.shortestPatienceMs))});
     }
     TargetConnection connection(
         co_await net::this_coro::executor,
@@ -375,7 +404,8 @@
         logEvent(Event::SilentConnectionsClosed, {{"target", attempt.id.target.value}, {"closed", std::to_string(n + 1)}});
     }
     if (isSilent && (fault == ReceiveFault::Timeout || fault == ReceiveFault::Cut)) {
-        return AttemptFailure{.reason = RetryReason::StaleConnection, .mayHaveRun = true, .blamesTarget = false};
+        const AttemptEnd end = fault == ReceiveFault::Timeout ? AttemptEnd::Silent : AttemptEnd::Failed;
+        return AttemptFailure{.reason = RetryReason::StaleConnection, .mayHaveRun = true, .blamesTarget = false, .end = end};
     }
     const bool isTimeout = fault == ReceiveFault::Timeout;
     return AttemptFailure{.reason = isTimeout ? RetryReason::AttemptTimeout : RetryReason::AnswerIncomplete,
--- a/packages/proxy/src/dispatcher.h
+++ b/packages/proxy/src/dispatcher.h
@@ -94,6 +94,7 @@
     net::awaitable<std::optional<Refusal>> takeTarget(const DispatchRequest &request, const DispatchTrace &trace, Progress &progress);
     bool mayRepeat(const DispatchRequest &request, Progress &progress);
     Refusal refuseAfter(const DispatchRequest &request, const DispatchTrace &trace, const Progress &progress) const;
+    static void logFailure(const DispatchRequest &request, const Progress &progress, const AttemptFailure &failure, Duration taken);
     static void noteFailure(const AttemptFailure &failure, Progress &progress);
 
     net::awaitable<AttemptResult> tryOnce(const DispatchRequest &request, Progress &progress, DispatchTrace &trace, ReplyWriter &reply);
--- a/packages/proxy/src/refusal.h
+++ b/packages/proxy/src/refusal.h
@@ -14,6 +14,7 @@
     RefusalReason reason = RefusalReason::MalformedRequest;
     RunState run = RunState::NotRun;
     std::optional<Duration> retryAfter; // where waiting helps
+    AccountName account{};              // for the log, where it decided
     bool closes = false;                // what follows on the connection can't be trusted
 };
 
--- a/packages/proxy/src/session.cpp
+++ b/packages/proxy/src/session.cpp
@@ -76,6 +76,19 @@
     return std::nullopt;
 }
 
+void logRefusal(const Refusal &refusal, const std::string &requestId, const std::string &path, Duration total)
+{
+    const auto ms = [](Duration duration) { return std::to_string(std::chrono::duration_cast<milliseconds>(duration).count()); };
+    logRequestEvent(Event::RequestRefused,
+                    {{"request_id", requestId},
+                     {"reason", std::string(refusalReasonName(refusal.reason))},
+                     {"run", refusal.run == RunState::NotRun ? "not-run" : "unknown"},
+                     {"account", refusal.account.value},
+                     {"path", path},
+                     {"after_ms", ms(total)},
+                     {"retry_after_ms", refusal.retryAfter ? ms(*refusal.retryAfter) : "none"}});
+}
+
 // Adds one to a gauge for as long as it lives, however the scope is left.
 class GaugeHold
 {
@@ -259,6 +272,7 @@
     const TimePoint receivedAt = m_shared.parts.clock.now();
     const bool hasBody = header.content_length().value_or(0) != 0 || header.chunked();
     const std::string requestId = requestIdFor(header.get(), m_shared.options.wire);
+    const std::string path(toView(header.get().target()));
     ReplyWriter reply(m_stream, makeReplyContext(requestId, header.get()), m_shared.options.wire);
     DispatchTrace trace;
     std::optional<Refusal> refusal;
@@ -301,6 +315,9 @@
         isSent = refusal->reason != RefusalReason::CallerGone && co_await reply.sendRefusal(*refusal);
     }
     const Duration total = m_shared.parts.clock.now() - receivedAt;
+    if (refusal) {
+        logRefusal(*refusal, requestId, path, total);
+    }
     m_shared.parts.metrics.recordTiming(Timing::Total, total);
     m_shared.parts.metrics.recordTiming(Timing::Added, total - trace.timeAtTargets);
     if (!isSent || !m_stream.socket().is_open()) {
@@ -378,6 +395,7 @@
     if (resolved->caller.account != nullptr) {
         const Admission admission = co_await askAdmission(m_shared.parts.admission, resolved->caller, now);
         if (std::optional<Refusal> refusal = refusalFor(admission)) {
+            refusal->account = resolved->caller.accountName;
             co_return refusal;
         }
     }
--- a/packages/proxy/src/target_table.cpp
+++ b/packages/proxy/src/target_table.cpp
@@ -183,17 +183,13 @@
 void TargetTable::noteRequest(const ServiceName &service)
 {
     const std::lock_guard lock(m_mutex);
-    RetryBudget &budget = entry(service).budget;
-    budget.refill(m_clock.now());
-    budget.noteRequest();
+    entry(service).budget.noteRequest(m_clock.now());
 }
 
 bool TargetTable::takeRepeat(const ServiceName &service)
 {
     const std::lock_guard lock(m_mutex);
-    RetryBudget &budget = entry(service).budget;
-    budget.refill(m_clock.now());
-    return budget.takeRepeat();
+    return entry(service).budget.takeRepeat(m_clock.now());
 }
 
 Duration TargetTable::usualLatency(const ServiceName &service) const
--- a/packages/telemetry/include/pollenspoke/telemetry.h
+++ b/packages/telemetry/include/pollenspoke/telemetry.h
@@ -114,4 +114,9 @@
 void setUpLogging(const LogOptions &options); // once, before the first line; lines go to standard error
 void logEvent(Event event, std::initializer_list<LogField> fields, LogLevel level = LogLevel::Info);
 
+/// The same for events of single requests, at most `requestLinesPerSecond` a process; lines left out are counted, and the
+/// next line that is written says how many there were.
+void logRequestEvent(Event event, std::initializer_list<LogField> fields, LogLevel level = LogLevel::Info);
+inline constexpr std::uint32_t requestLinesPerSecond = 100; // about 25 KB/s
+
 } // namespace Pollenspoke
--- a/packages/telemetry/src/logging.cpp
+++ b/packages/telemetry/src/logging.cpp
@@ -2,9 +2,15 @@
 #include <pollenspoke/telemetry.h>
 
 #include <atomic>
+#include <chrono>
 #include <easylogging++.h>
+#include <mutex>
+#include <optional>
 #include <pollenspoke/web.h>
+#include <span>
 #include <sstream>
+#include <utility>
+#include <vector>
 
 INITIALIZE_EASYLOGGINGPP
 
@@ -30,7 +36,35 @@
     return "unnamed";
 }
 
-std::string formatLine(Event event, std::initializer_list<LogField> fields, LogLevel level)
+// Counts lines within one second of the steady clock.
+class LineLimit
+{
+public:
+    // Nothing: the line is left out. Else how many were left out before it.
+    std::optional<std::uint64_t> take()
+    {
+        const std::lock_guard lock(m_mutex);
+        const auto now = std::chrono::steady_clock::now();
+        if (now - m_startedAt >= std::chrono::seconds(1)) {
+            m_startedAt = now;
+            m_lines = 0;
+        }
+        if (m_lines >= requestLinesPerSecond) {
+            ++m_leftOut;
+            return std::nullopt;
+        }
+        ++m_lines;
+        return std::exchange(m_leftOut, 0);
+    }
+
+private:
+    std::mutex m_mutex;
+    std::chrono::steady_clock::time_point m_startedAt;
+    std::uint32_t m_lines = 0;
+    std::uint64_t m_leftOut = 0;
+};
+
+std::string formatLine(Event event, std::span<const LogField> fields, LogLevel level)
 {
     const auto number = static_cast<int>(event);
     if (activeFormat == LogFormat::Json) {
@@ -71,7 +105,24 @@
     if (level < activeLevel.load()) {
         return;
     }
-    LOG(INFO) << formatLine(event, fields, level);
+    LOG(INFO) << formatLine(event, std::span(fields.begin(), fields.size()), level);
+}
+
+void logRequestEvent(Event event, std::initializer_list<LogField> fields, LogLevel level)
+{
+    static LineLimit limit;
+    if (level < activeLevel.load()) {
+        return;
+    }
+    const std::optional<std::uint64_t> leftOut = limit.take();
+    if (!leftOut) {
+        return;
+    }
+    std::vector<LogField> all(fields);
+    if (*leftOut != 0) {
+        all.push_back({"lines_left_out", std::to_string(*leftOut)});
+    }
+    LOG(INFO) << formatLine(event, all, level);
 }
 
 } // namespace Pollenspoke
