Keep lapsed targets only after an outage that others saw too; refusals stay trivially destructible

Vms now tell each other how long they have had the store. Ruled out: the drain's time limit, SIGKILL.

--- a/packages/base/include/pollenspoke/base.h
+++ b/packages/base/include/pollenspoke/base.h
@@ -226,6 +226,8 @@
     TargetEjected           = 4001, // with the evidence
     TargetReturned          = 4002, // with the evidence
     FloorReached            = 4003, // an ejection was held back by the floor
+    TargetListed            = 4004, // a target registered, or its state or address changed
+    TargetUnlisted          = 4005, // a target's registration is gone, and it with it, at once or after a grace
     QuotaReclaimed          = 5001, // a gone Vm's grant was taken back
     QuotaDenied             = 5002, // no tokens here or from lenders
     PeerSuspected           = 6001, // a peer stopped answering
--- a/packages/base/src/events.cpp
+++ b/packages/base/src/events.cpp
@@ -35,6 +35,8 @@
     EventRow{Event::TargetEjected, "target_ejected"},
     EventRow{Event::TargetReturned, "target_returned"},
     EventRow{Event::FloorReached, "floor_reached"},
+    EventRow{Event::TargetListed, "target_listed"},
+    EventRow{Event::TargetUnlisted, "target_unlisted"},
     EventRow{Event::QuotaReclaimed, "quota_reclaimed"},
     EventRow{Event::QuotaDenied, "quota_denied"},
     EventRow{Event::PeerSuspected, "peer_suspected"},
--- a/packages/fleet/src/configuration.cpp
+++ b/packages/fleet/src/configuration.cpp
@@ -71,6 +71,37 @@
     }
 }
 
+// One line for each target that came, went or changed since the last snapshot.
+void Configuration::logTargets(const std::map<ServiceName, std::vector<Target>> &targets) const
+{
+    std::map<TargetName, std::pair<ServiceName, Target>> before;
+    for (const auto &[service, list] : m_targets) {
+        for (const Target &it : list) {
+            before.emplace(it.name, std::pair(service, it));
+        }
+    }
+    for (const auto &[service, list] : targets) {
+        for (const Target &it : list) {
+            const auto found = before.find(it.name);
+            const bool isKnown = found != before.end() && found->second.second.state == it.state && found->second.second.address == it.address;
+            if (found != before.end()) {
+                before.erase(found);
+            }
+            if (!isKnown) {
+                logEvent(Event::TargetListed,
+                         {{"service", service.value},
+                          {"target", it.name.value},
+                          {"state", it.state == TargetState::Serving ? "serving" : "leaving"},
+                          {"revision", std::to_string(m_rosterRevision)}});
+            }
+        }
+    }
+    for (const auto &[name, it] : before) {
+        logEvent(Event::TargetUnlisted,
+                 {{"service", it.first.value}, {"target", name.value}, {"revision", std::to_string(m_rosterRevision)}});
+    }
+}
+
 std::shared_ptr<const Snapshot> Configuration::takeSnapshot(TimePoint now)
 {
     std::map<ServiceName, std::vector<Target>> targets = m_roster.targets(now);
@@ -89,6 +120,7 @@
         noteRefused("snapshot", std::to_string(m_snapshots), snapshot.error());
         return nullptr;
     }
+    logTargets(targets);
     m_targets = std::move(targets);
     m_isChanged = false;
     return *snapshot;
--- a/packages/fleet/src/configuration.h
+++ b/packages/fleet/src/configuration.h
@@ -24,6 +24,7 @@
 
 private:
     std::optional<RosterEntry> decode(const StoredDocument &document);
+    void logTargets(const std::map<ServiceName, std::vector<Target>> &targets) const;
     void noteRefused(const std::string &what, const std::string &version, const Error &error);
 
     const PlatformFormat &m_format;
--- a/packages/fleet/src/fleet_vm.cpp
+++ b/packages/fleet/src/fleet_vm.cpp
@@ -76,6 +76,7 @@
     void report(const std::vector<const Member *> &to, std::optional<FleetNews> news);
     void takeMessage(const VmName &sender, const LinkMessage &message, const net::ip::udp::endpoint &from);
     net::awaitable<void> removeGone();
+    void checkOutage();
     void noteStore(bool isHeard, const std::string &problem);
 
     FleetOptions options;
@@ -99,6 +100,8 @@
     bool isRegistering = false;
     bool isStoreLost = false;
     TimePoint othersHeardAt;
+    std::optional<TimePoint> storeUpSince; // nothing: it is lost, or was never heard
+    TimePoint lastOutageAt;
     FleetNews lastNews;
     std::atomic<bool> hasSnapshot{false};
     std::atomic<bool> isLeaving{false};
@@ -135,8 +138,15 @@
 {
     const TimePoint now = clock.now();
     if (isHeard) {
+        if (const std::optional<TimePoint> lostAt = configuration.roster().lostAt()) {
+            lastOutageAt = *lostAt;
+            storeUpSince = now;
+        }
+        storeUpSince = storeUpSince.value_or(now);
         configuration.roster().noteStoreHeard(now);
+        checkOutage();
     } else {
+        storeUpSince.reset();
         configuration.roster().noteStoreLost(now);
         metrics.count(Counter::StoreFailures);
     }
@@ -149,6 +159,16 @@
     }
 }
 
+// Whether the outage that ended was this Vm's alone, by the word of the others.
+void FleetVm::Impl::checkOutage()
+{
+    const TimePoint now = clock.now();
+    if (configuration.roster().isInGrace(now) && members.hadStoreSince(lastOutageAt, now)) {
+        configuration.roster().noteOnlyCutOff(now);
+        publishConfiguration();
+    }
+}
+
 void FleetVm::Impl::publishConfiguration()
 {
     if (configuration.rosterRevision() == 0) {
@@ -347,6 +367,7 @@
     const StatusReport status{.isLeaving = isLeaving,
                               .declarationsRevision = configuration.declarationsRevision(),
                               .rosterRevision = configuration.rosterRevision(),
+                              .storeUp = storeUpSince ? std::max<Duration>(clock.now() - *storeUpSince, std::chrono::milliseconds(1)) : Duration(0),
                               .news = std::move(news)};
     const std::string bytes = encodeDatagram(options.proxy.vm, status);
     for (const Member *it : to) {
@@ -424,7 +445,8 @@
 void FleetVm::Impl::takeMessage(const VmName &sender, const LinkMessage &message, const net::ip::udp::endpoint &from)
 {
     if (const auto *status = std::get_if<StatusReport>(&message)) {
-        members.noteReport(sender, status->isLeaving, clock.now());
+        members.noteReport(sender, status->isLeaving, status->storeUp, clock.now());
+        checkOutage();
         if (status->news) {
             proxy.applyNews(sender, *status->news);
         }
--- a/packages/fleet/src/kind_follower.h
+++ b/packages/fleet/src/kind_follower.h
@@ -22,7 +22,7 @@
     Duration watchWait = std::chrono::seconds(25);
     Duration watchPause = std::chrono::milliseconds(250);
     Duration firstPause = std::chrono::milliseconds(150); // after a failed call; doubles with each
-    Duration longestPause = std::chrono::milliseconds(1200);
+    Duration longestPause = std::chrono::milliseconds(900);
 };
 
 /// Runs until it is cancelled. The store and the handler must outlive it.
--- a/packages/fleet/src/link.cpp
+++ b/packages/fleet/src/link.cpp
@@ -26,6 +26,7 @@
     status.set_is_leaving(report.isLeaving);
     status.set_configuration_revision(report.declarationsRevision);
     status.set_roster_revision(report.rosterRevision);
+    status.set_store_up_ms(toMs(report.storeUp));
     status.set_has_services(report.news.has_value());
     if (!report.news) {
         return;
@@ -61,7 +62,8 @@
 {
     StatusReport report{.isLeaving = status.is_leaving(),
                         .declarationsRevision = status.configuration_revision(),
-                        .rosterRevision = status.roster_revision()};
+                        .rosterRevision = status.roster_revision(),
+                        .storeUp = milliseconds(status.store_up_ms())};
     if (!status.has_services()) {
         return report;
     }
--- a/packages/fleet/src/link.h
+++ b/packages/fleet/src/link.h
@@ -15,6 +15,7 @@
     bool isLeaving = false;
     std::uint64_t declarationsRevision = 0;
     std::uint64_t rosterRevision = 0;
+    Duration storeUp{};            // how long the sender has had the store without a break; 0: it hasn't
     std::optional<FleetNews> news; // nothing: says nothing of targets this time
 };
 
--- a/packages/fleet/src/members.h
+++ b/packages/fleet/src/members.h
@@ -13,6 +13,7 @@
     VmRegistration registration;
     std::uint64_t registeredAt = 0; // store revision
     TimePoint heardAt;              // of its last report; at first, when it was first listed
+    std::optional<TimePoint> storeUpSince; // by its last report
     bool isLeaving = false;
 };
 
@@ -27,7 +28,10 @@
     void list(const std::vector<std::pair<RegisteredVm, VmRegistration>> &vms, TimePoint now); // replaces all
     void put(const RegisteredVm &vm, const VmRegistration &registration, TimePoint now);
     void remove(const VmName &vm);
-    void noteReport(const VmName &vm, bool isLeaving, TimePoint now);
+    void noteReport(const VmName &vm, bool isLeaving, Duration storeUp, TimePoint now);
+
+    /// Whether other Vms say that they had the store all the time since then.
+    bool hadStoreSince(TimePoint since, TimePoint now) const;
     void setLeaving() { m_isLeaving = true; } // this Vm
 
     bool isSelf(const VmName &vm) const { return vm == m_self; }
--- a/packages/policy/include/pollenspoke/policy.h
+++ b/packages/policy/include/pollenspoke/policy.h
@@ -910,7 +910,8 @@
 };
 
 /// Which targets there are, by what the platform's store says. Registrations lapse while the store is away although their
-/// targets live; such a target stays until the store has been back for a while.
+/// targets live; such a target stays until the store has been back for a while. Where other Vms had the store all the while,
+/// only this Vm was cut off: no registration lapsed, and what is gone is gone at once.
 class TargetRoster
 {
 public:
@@ -922,6 +923,9 @@
     void remove(const TargetName &name, TimePoint now);
     void noteStoreLost(TimePoint now);  // a call failed
     void noteStoreHeard(TimePoint now); // a call was answered
+    void noteOnlyCutOff(TimePoint now); // the outage that ended was this Vm's alone
+    bool isInGrace(TimePoint now) const { return now < m_graceUntil; }
+    std::optional<TimePoint> lostAt() const { return m_lostAt; } // start of the present outage
 
     std::map<ServiceName, std::vector<Target>> targets(TimePoint now); // drops those whose grace is over
     std::optional<TimePoint> nextDrop() const;                         // when targets() changes without another call
--- a/packages/policy/src/target_roster.cpp
+++ b/packages/policy/src/target_roster.cpp
@@ -24,6 +24,16 @@
     m_lostAt.reset();
 }
 
+void TargetRoster::noteOnlyCutOff(TimePoint now)
+{
+    m_graceUntil = std::min(m_graceUntil, now);
+    for (auto &[name, it] : m_entries) {
+        if (it.dropAt) {
+            it.dropAt = std::min(*it.dropAt, now);
+        }
+    }
+}
+
 void TargetRoster::replaceAll(std::vector<RosterEntry> entries, TimePoint now)
 {
     const TimePoint dropAt = dropTime(now);
--- a/packages/proxy/src/session.cpp
+++ b/packages/proxy/src/session.cpp
@@ -76,14 +76,14 @@
     return std::nullopt;
 }
 
-void logRefusal(const Refusal &refusal, const std::string &requestId, const std::string &path, Duration total)
+void logRefusal(const Refusal &refusal, const std::string &requestId, const AccountName &account, const std::string &path, Duration total)
 {
     const auto ms = [](Duration duration) { return std::to_string(std::chrono::duration_cast<milliseconds>(duration).count()); };
     logRequestEvent(Event::RequestRefused,
                     {{"request_id", requestId},
                      {"reason", std::string(refusalReasonName(refusal.reason))},
                      {"run", refusal.run == RunState::NotRun ? "not-run" : "unknown"},
-                     {"account", refusal.account.value},
+                     {"account", account.value},
                      {"path", path},
                      {"after_ms", ms(total)},
                      {"retry_after_ms", refusal.retryAfter ? ms(*refusal.retryAfter) : "none"}});
@@ -316,7 +316,7 @@
     }
     const Duration total = m_shared.parts.clock.now() - receivedAt;
     if (refusal) {
-        logRefusal(*refusal, requestId, path, total);
+        logRefusal(*refusal, requestId, trace.account, path, total);
     }
     m_shared.parts.metrics.recordTiming(Timing::Total, total);
     m_shared.parts.metrics.recordTiming(Timing::Added, total - trace.timeAtTargets);
@@ -385,6 +385,7 @@
     if (!resolved) {
         co_return resolved.error();
     }
+    trace.account = resolved->caller.accountName;
     if (containsSecret(request.message.body(), resolved->caller.secret)) {
         co_return Refusal{.reason = RefusalReason::KeyInContent};
     }
@@ -395,7 +396,6 @@
     if (resolved->caller.account != nullptr) {
         const Admission admission = co_await askAdmission(m_shared.parts.admission, resolved->caller, now);
         if (std::optional<Refusal> refusal = refusalFor(admission)) {
-            refusal->account = resolved->caller.accountName;
             co_return refusal;
         }
     }
