--- a/packages/fleet/include/pollenspoke/fleet.h
+++ b/packages/fleet/include/pollenspoke/fleet.h
@@ -110,6 +110,7 @@
     virtual Result<TargetRecord> decodeTarget(const std::string &name, const JsonValue &spec) const = 0;
     virtual std::string readinessPath() const = 0;
     virtual std::string addressPath() const = 0;
+    virtual FailureDomain decodeAddressQuestion(const std::string &query) const = 0; // of the caller; empty: it doesn't say
     virtual std::string formatAddresses(const std::vector<Address> &addresses, Duration ttl) const = 0;
 };
 
@@ -171,7 +172,7 @@
     Duration watchPause = std::chrono::milliseconds(250);       // between watches, so that one call brings several changes
     Duration registerDelay{0};                                  // before the first registration: a weak machine lets others take the seats
     Duration statusPeriod = std::chrono::milliseconds(1000);    // between reports to all Vms
-    Duration newsPeriod = std::chrono::milliseconds(150);       // between reports to seat holders of how many requests targets have
+    Duration newsPeriod = std::chrono::milliseconds(40);        // between reports to seat holders of what changed at targets
     Duration silenceLimit = std::chrono::milliseconds(3000);    // a Vm not heard of for so long is left out of the answers
     Duration leaveTime = std::chrono::milliseconds(4200);       // planned stop: still taking requests, until answers ran out
     std::uint32_t drainTimeoutMs = 1400;                        // planned stop: then, longest wait for requests in flight
--- /dev/null
+++ b/packages/fleet/src/feed.cpp
@@ -0,0 +1,191 @@
+#include "feed.h"
+
+#include <algorithm>
+
+namespace Pollenspoke {
+
+namespace {
+
+namespace net = boost::asio;
+
+constexpr auto asTuple = net::as_tuple(net::use_awaitable);
+constexpr auto askStep = std::chrono::milliseconds(300);  // between questions: with a holder's own pause a change takes 0.6 s at most
+constexpr auto replyTime = std::chrono::milliseconds(40); // a round trip within the region is about 2 ms
+constexpr int mostMisses = 3;                             // questions in a row without an answer, before the store is watched
+constexpr auto directWait = std::chrono::seconds(2);      // of a watch of the store in place of a holder
+
+} // namespace
+
+void ChangeLog::startAt(std::uint64_t revision)
+{
+    m_known = revision;
+    m_from = revision;
+    m_changes.clear();
+}
+
+void ChangeLog::add(const DocumentChanges &changes)
+{
+    if (!m_known) {
+        return;
+    }
+    m_known = std::max(*m_known, changes.revision);
+    for (const DocumentChange &it : changes.events) {
+        m_changes.push_back({.change = it, .bytes = it.document.name.size() + formatJsonText(it.document.spec).size()});
+    }
+    while (m_changes.size() > mostKept) {
+        m_from = std::max(m_from, m_changes.front().change.document.revision);
+        m_changes.pop_front();
+    }
+}
+
+std::optional<DocumentChanges> ChangeLog::since(std::uint64_t revision) const
+{
+    if (!knows(revision)) {
+        return std::nullopt;
+    }
+    DocumentChanges changes{.revision = *m_known};
+    std::size_t bytes = 0;
+    for (const Kept &it : m_changes) {
+        if (it.change.document.revision > revision) {
+            bytes += it.bytes;
+            changes.events.push_back(it.change);
+        }
+    }
+    return bytes > mostReplyBytes ? std::nullopt : std::optional(std::move(changes));
+}
+
+FeedStore::FeedStore(net::io_context &context, DocumentStore &store, Link &link, Members &members, const Clock &clock, Metrics &metrics)
+    : m_context(context)
+    , m_store(store)
+    , m_link(link)
+    , m_members(members)
+    , m_clock(clock)
+    , m_metrics(metrics)
+    , m_generator(std::random_device{}())
+{
+}
+
+bool FeedStore::watchesItself() const
+{
+    const std::vector<VmName> holders = m_members.holders();
+    return std::any_of(holders.begin(), holders.end(), [this](const VmName &it) { return m_members.isSelf(it); });
+}
+
+// One that has the store, in this failure domain if there is one.
+const Member *FeedStore::chooseHolder()
+{
+    const TimePoint now = m_clock.now();
+    std::vector<const Member *> near;
+    std::vector<const Member *> far;
+    for (const VmName &it : m_members.liveHolders(now)) {
+        const Member *member = m_members.find(it);
+        if (!m_members.isSelf(it) && member->storeUpSince && now - member->heardAt < Members::freshTime) {
+            (m_members.isNear(*member) ? near : far).push_back(member);
+        }
+    }
+    const std::vector<const Member *> &found = near.empty() ? far : near;
+    if (found.empty()) {
+        return nullptr;
+    }
+    std::uniform_int_distribution<std::size_t> draw(0, found.size() - 1);
+    return found[draw(m_generator)];
+}
+
+DocumentStore::Call<DocumentList> FeedStore::list(std::string kind)
+{
+    m_metrics.count(Counter::StoreCalls);
+    Result<DocumentList> listed = co_await m_store.list(kind);
+    if (listed && watchesItself()) {
+        m_logs[kind].startAt(listed->revision);
+    } else {
+        m_logs[kind].stop();
+    }
+    co_return listed;
+}
+
+DocumentStore::Call<DocumentChanges> FeedStore::watchStore(std::string kind, std::uint64_t since, Duration wait)
+{
+    m_metrics.count(Counter::StoreCalls);
+    if (!m_logs[kind].knows(since)) {
+        m_logs[kind].startAt(since);
+    }
+    Result<DocumentChanges> changes = co_await m_store.watch(kind, since, wait);
+    if (changes) {
+        m_logs[kind].add(*changes);
+    } else {
+        m_logs[kind].stop();
+    }
+    co_return changes;
+}
+
+DocumentStore::Call<DocumentChanges> FeedStore::watch(std::string kind, std::uint64_t since, Duration wait)
+{
+    const TimePoint giveUpAt = m_clock.now() + wait;
+    net::steady_timer timer(m_context);
+    int misses = 0;
+    while (misses < mostMisses && !watchesItself()) {
+        const Member *holder = chooseHolder();
+        if (holder == nullptr) {
+            break;
+        }
+        m_logs[kind].stop();
+        std::optional<DocumentChanges> changes = co_await ask(*holder, kind, since);
+        misses = changes ? 0 : misses + 1;
+        if (changes && (!changes->events.empty() || m_clock.now() >= giveUpAt)) {
+            co_return std::move(*changes);
+        }
+        timer.expires_after(askStep);
+        co_await timer.async_wait(net::use_awaitable);
+    }
+    const Duration longest = watchesItself() ? wait : std::min<Duration>(wait, directWait);
+    co_return co_await watchStore(kind, since, longest);
+}
+
+net::awaitable<std::optional<DocumentChanges>> FeedStore::ask(const Member &holder, std::string kind, std::uint64_t since)
+{
+    const std::uint64_t id = ++m_lastId;
+    Asking &asking = m_asking.emplace(id, Asking{.timer = net::steady_timer(m_context, replyTime)}).first->second;
+    m_link.send(holder.registration.peers, FeedQuestion{.id = id, .kind = kind, .since = since});
+    co_await asking.timer.async_wait(asTuple);
+    std::optional<DocumentChanges> changes;
+    if (asking.reply) {
+        changes = std::move(asking.reply->changes);
+    }
+    m_asking.erase(id);
+    co_return changes;
+}
+
+FeedReply FeedStore::answer(const FeedQuestion &question) const
+{
+    const auto it = m_logs.find(question.kind);
+    return {.id = question.id, .changes = it == m_logs.end() ? std::nullopt : it->second.since(question.since)};
+}
+
+void FeedStore::takeReply(const FeedReply &reply)
+{
+    const auto it = m_asking.find(reply.id);
+    if (it != m_asking.end()) {
+        it->second.reply = reply;
+        it->second.timer.cancel();
+    }
+}
+
+DocumentStore::Call<StoredDocument> FeedStore::create(std::string kind, std::string name, JsonValue spec)
+{
+    m_metrics.count(Counter::StoreCalls);
+    return m_store.create(std::move(kind), std::move(name), std::move(spec));
+}
+
+DocumentStore::Call<StoredDocument> FeedStore::replace(std::string kind, std::string name, JsonValue spec, std::uint64_t revision)
+{
+    m_metrics.count(Counter::StoreCalls);
+    return m_store.replace(std::move(kind), std::move(name), std::move(spec), revision);
+}
+
+DocumentStore::Call<void> FeedStore::remove(std::string kind, std::string name, std::uint64_t revision)
+{
+    m_metrics.count(Counter::StoreCalls);
+    return m_store.remove(std::move(kind), std::move(name), revision);
+}
+
+} // namespace Pollenspoke
--- a/packages/fleet/src/fleet_vm.cpp
+++ b/packages/fleet/src/fleet_vm.cpp
@@ -1,4 +1,5 @@
 #include "configuration.h"
+#include "feed.h"
 #include "fleet_admission.h"
 #include "kind_follower.h"
 
@@ -13,7 +14,6 @@
 constexpr auto asTuple = net::as_tuple(net::use_awaitable);
 constexpr auto registerPause = std::chrono::seconds(1);  // after a failed try to register
 constexpr auto rosterStep = std::chrono::milliseconds(100); // longest delay of a target's drop after its time
-constexpr auto newsStep = std::chrono::milliseconds(20); // delay of urgent news
 constexpr auto fenceTime = std::chrono::seconds(30);     // a Vm that heard of no other one for so long uses no seat
 constexpr auto goneTime = std::chrono::seconds(90);      // a Vm that nobody heard of for so long loses its registration
 
@@ -26,6 +26,38 @@
     return spec;
 }
 
+const TargetNews *findNews(const FleetNews &news, const ServiceName &service, const TargetName &target)
+{
+    const auto found = news.find(service);
+    if (found == news.end()) {
+        return nullptr;
+    }
+    const auto it = std::find_if(found->second.begin(), found->second.end(), [&target](const TargetNews &it) { return it.target == target; });
+    return it == found->second.end() ? nullptr : &*it;
+}
+
+// The targets whose counts of requests or failures differ. Those that are no longer spoken of have neither any more.
+FleetNews changesOf(const FleetNews &before, const FleetNews &after)
+{
+    FleetNews changes;
+    for (const auto &[service, targets] : after) {
+        for (const TargetNews &it : targets) {
+            const TargetNews *last = findNews(before, service, it.target);
+            if (last == nullptr || last->inFlight != it.inFlight || last->failures != it.failures) {
+                changes[service].push_back(it);
+            }
+        }
+    }
+    for (const auto &[service, targets] : before) {
+        for (const TargetNews &it : targets) {
+            if (it.inFlight != 0 && findNews(after, service, it.target) == nullptr) {
+                changes[service].push_back(TargetNews{.target = it.target});
+            }
+        }
+    }
+    return changes;
+}
+
 std::optional<VmRegistration> decodeRegistration(const JsonValue &spec)
 {
     const auto text = [&spec](const char *name) {
@@ -48,10 +80,11 @@
         : options(std::move(given))
         , format(platform.format)
         , store(platform.openStore(context.get_executor()))
-        , members(options.proxy.vm, options.silenceLimit)
+        , members(options.proxy.vm, options.proxy.failureDomain, options.silenceLimit)
         , link(context, options.proxy.vm, options.peers, [this](const auto &sender, const auto &message, const auto &from) {
             takeMessage(sender, message, from);
         })
+        , feed(context, *store, link, members, clock, metrics)
         , admission(context, link, members, clock, options.quota)
         , proxy(options.proxy, {clock, metrics, admission})
         , configuration(format, metrics)
@@ -71,9 +104,7 @@
     net::awaitable<void> watchRoster();
     net::awaitable<void> reportToAll();
     net::awaitable<void> reportNews();
-    bool isUrgent(const FleetNews &news) const;
-    bool isMoved(const FleetNews &news) const;
-    void report(const std::vector<const Member *> &to, std::optional<FleetNews> news);
+    void report(const std::vector<const Member *> &to, std::optional<FleetNews> news, bool isWhole = true);
     void takeMessage(const VmName &sender, const LinkMessage &message, const net::ip::udp::endpoint &from);
     net::awaitable<void> removeGone();
     void checkOutage();
@@ -87,6 +118,7 @@
     std::unique_ptr<DocumentStore> store;
     Members members;
     Link link;
+    FeedStore feed;
     FleetAdmission admission;
     Proxy proxy;
     Configuration configuration;
@@ -118,7 +150,7 @@
         return isReady() ? Page{.body = "ready\n"} : Page{.status = 503, .body = "not ready\n"};
     }
     if (request.path == format.addressPath()) {
-        const std::vector<Address> callers = members.callerAddresses(clock.now());
+        const std::vector<Address> callers = members.callerAddresses(format.decodeAddressQuestion(request.query), clock.now());
         if (callers.empty()) {
             return {.status = 503, .body = "no address is known\n"};
         }
@@ -222,7 +254,7 @@
                   .onHeard = onHeard};
     const auto follow = [this](const std::string &kind, const FollowHandler &handler, Duration pause) {
         const FollowOptions followed{.kind = kind, .watchWait = options.watchWait, .watchPause = pause};
-        net::co_spawn(context, followKind(*store, followed, handler), net::detached);
+        net::co_spawn(context, followKind(feed, followed, handler), net::detached);
     };
     follow(format.declarationsKind(), declarationsHandler, options.watchPause);
     follow(format.targetsKind(), targetsHandler, options.watchPause);
@@ -309,9 +341,9 @@
         const std::string &name = options.proxy.vm.value;
         Result<StoredDocument> written; // not by a conditional expression: GCC 12 destroys its awaited temporaries twice
         if (present) {
-            written = co_await store->replace(format.vmsKind(), name, spec, present->revision);
+            written = co_await feed.replace(format.vmsKind(), name, spec, present->revision);
         } else {
-            written = co_await store->create(format.vmsKind(), name, spec);
+            written = co_await feed.create(format.vmsKind(), name, spec);
         }
         if (written || written.error().code == ErrorCode::VersionConflict) {
             break; // a conflict: the write took effect before its answer was lost, or another process has this name
@@ -348,7 +380,7 @@
             if (now - it->heardAt > goneTime) {
                 const std::string name = it->name.value;
                 logEvent(Event::VmForgotten, {{"vm", name}});
-                const auto removed = co_await store->remove(format.vmsKind(), name, registrations[it->name]);
+                const auto removed = co_await feed.remove(format.vmsKind(), name, registrations[it->name]);
                 if (!removed) {
                     logEvent(Event::StoreUnavailable, {{"call", "remove"}, {"error", describe(removed.error())}}, LogLevel::Warning);
                 }
@@ -362,13 +394,14 @@
 // Reports
 //-----------------------------------------------------------------------------
 
-void FleetVm::Impl::report(const std::vector<const Member *> &to, std::optional<FleetNews> news)
+void FleetVm::Impl::report(const std::vector<const Member *> &to, std::optional<FleetNews> news, bool isWhole)
 {
     const StatusReport status{.isLeaving = isLeaving,
                               .declarationsRevision = configuration.declarationsRevision(),
                               .rosterRevision = configuration.rosterRevision(),
                               .storeUp = storeUpSince ? std::max<Duration>(clock.now() - *storeUpSince, std::chrono::milliseconds(1)) : Duration(0),
-                              .news = std::move(news)};
+                              .news = std::move(news),
+                              .isWhole = isWhole};
     const std::string bytes = encodeDatagram(options.proxy.vm, status);
     for (const Member *it : to) {
         link.send(toDatagramEndpoint(it->registration.peers), bytes);
@@ -385,60 +418,29 @@
     }
 }
 
-// What others should know at once, and what may wait: a failure changes where they send work, a count of requests shifts it.
-bool FleetVm::Impl::isUrgent(const FleetNews &news) const
-{
-    for (const auto &[service, targets] : news) {
-        const auto last = lastNews.find(service);
-        for (const TargetNews &it : targets) {
-            const auto isSame = [&it](const TargetNews &other) { return other.target == it.target && other.failures >= it.failures; };
-            if (it.failures != 0 && (last == lastNews.end() || std::none_of(last->second.begin(), last->second.end(), isSame))) {
-                return true;
-            }
-        }
-    }
-    return false;
-}
-
-bool FleetVm::Impl::isMoved(const FleetNews &news) const
-{
-    const auto counts = [](const FleetNews &of) {
-        std::map<std::pair<ServiceName, TargetName>, std::uint32_t> found;
-        for (const auto &[service, targets] : of) {
-            for (const TargetNews &it : targets) {
-                if (it.inFlight != 0) {
-                    found[{service, it.target}] = it.inFlight;
-                }
-            }
-        }
-        return found;
-    };
-    return counts(news) != counts(lastNews);
-}
-
-// To seat holders: failures at once, counts of requests now and then, and all of it again before the others forget it.
+// To seat holders: what changed since the last report, and all of it again before they forget it.
 net::awaitable<void> FleetVm::Impl::reportNews()
 {
     net::steady_timer timer(context);
-    TimePoint sentAt;
+    TimePoint wholeAt;
     for (;;) {
-        timer.expires_after(newsStep);
+        timer.expires_after(options.newsPeriod);
         co_await timer.async_wait(net::use_awaitable);
         FleetNews news = proxy.news();
-        const Duration since = clock.now() - sentAt;
-        const bool isDue = isUrgent(news) || (since >= options.newsPeriod && isMoved(news)) || (since >= options.statusPeriod && !news.empty());
-        if (!isDue) {
+        const bool isWhole = clock.now() - wholeAt >= options.statusPeriod;
+        FleetNews said = isWhole ? news : changesOf(lastNews, news);
+        lastNews = std::move(news);
+        if (said.empty()) {
             continue;
         }
-        sentAt = clock.now();
-        lastNews = news;
+        wholeAt = isWhole ? clock.now() : wholeAt;
         std::vector<const Member *> to;
         for (const VmName &it : members.liveHolders(clock.now())) {
             if (!members.isSelf(it)) {
                 to.push_back(members.find(it));
             }
         }
-        report(to, std::move(news));
+        report(to, std::move(said), isWhole);
     }
 }
 
@@ -448,12 +450,16 @@
         members.noteReport(sender, status->isLeaving, status->storeUp, clock.now());
         checkOutage();
         if (status->news) {
-            proxy.applyNews(sender, *status->news);
+            proxy.applyNews(sender, *status->news, status->isWhole);
         }
     } else if (const auto *question = std::get_if<TokenQuestion>(&message)) {
         link.send(from, encodeDatagram(options.proxy.vm, admission.answer(*question)));
     } else if (const auto *reply = std::get_if<TokenReply>(&message)) {
         admission.takeReply(*reply);
+    } else if (const auto *asked = std::get_if<FeedQuestion>(&message)) {
+        link.send(from, encodeDatagram(options.proxy.vm, feed.answer(*asked)));
+    } else if (const auto *fed = std::get_if<FeedReply>(&message)) {
+        feed.takeReply(*fed);
     }
 }
 
--- a/packages/fleet/src/link.cpp
+++ b/packages/fleet/src/link.cpp
@@ -28,6 +28,7 @@
     status.set_roster_revision(report.rosterRevision);
     status.set_store_up_ms(toMs(report.storeUp));
     status.set_has_services(report.news.has_value());
+    status.set_is_whole(report.isWhole);
     if (!report.news) {
         return;
     }
@@ -58,6 +59,51 @@
     datagram.mutable_token_answer()->set_is_granted(reply.isGranted);
 }
 
+void encode(fleet::Datagram &datagram, const FeedQuestion &question)
+{
+    fleet::FeedAsk &ask = *datagram.mutable_feed_ask();
+    ask.set_id(question.id);
+    ask.set_kind(question.kind);
+    ask.set_since(question.since);
+}
+
+void encode(fleet::Datagram &datagram, const FeedReply &reply)
+{
+    fleet::FeedAnswer &answer = *datagram.mutable_feed_answer();
+    answer.set_id(reply.id);
+    answer.set_is_known(reply.changes.has_value());
+    if (!reply.changes) {
+        return;
+    }
+    answer.set_revision(reply.changes->revision);
+    for (const DocumentChange &it : reply.changes->events) {
+        fleet::FeedChange &change = *answer.add_changes();
+        change.set_is_deleted(it.isDeleted);
+        change.set_name(it.document.name);
+        change.set_revision(it.document.revision);
+        change.set_created(it.document.created);
+        change.set_spec(formatJsonText(it.document.spec));
+    }
+}
+
+// Nothing when a document can't be read: the store is asked then.
+std::optional<DocumentChanges> decodeChanges(const fleet::FeedAnswer &answer)
+{
+    if (!answer.is_known()) {
+        return std::nullopt;
+    }
+    DocumentChanges changes{.revision = answer.revision()};
+    for (const fleet::FeedChange &it : answer.changes()) {
+        StoredDocument document{.name = it.name(), .revision = it.revision(), .created = it.created()};
+        std::string problem;
+        if (!parseJsonText(it.spec(), document.spec, problem)) {
+            return std::nullopt;
+        }
+        changes.events.push_back({.isDeleted = it.is_deleted(), .document = std::move(document)});
+    }
+    return changes;
+}
+
 StatusReport decodeStatus(const fleet::Status &status)
 {
     StatusReport report{.isLeaving = status.is_leaving(),
@@ -80,6 +126,7 @@
         }
     }
     report.news = std::move(news);
+    report.isWhole = status.is_whole();
     return report;
 }
 
@@ -107,6 +154,12 @@
         return std::pair(sender, LinkMessage(TokenQuestion{datagram.token_ask().id(), {datagram.token_ask().account()}}));
     case fleet::Datagram::kTokenAnswer:
         return std::pair(sender, LinkMessage(TokenReply{datagram.token_answer().id(), datagram.token_answer().is_granted()}));
+    case fleet::Datagram::kFeedAsk: {
+        const fleet::FeedAsk &ask = datagram.feed_ask();
+        return std::pair(sender, LinkMessage(FeedQuestion{ask.id(), ask.kind(), ask.since()}));
+    }
+    case fleet::Datagram::kFeedAnswer:
+        return std::pair(sender, LinkMessage(FeedReply{datagram.feed_answer().id(), decodeChanges(datagram.feed_answer())}));
     case fleet::Datagram::BODY_NOT_SET:
         break;
     }
--- a/packages/fleet/src/link.h
+++ b/packages/fleet/src/link.h
@@ -17,6 +17,7 @@
     std::uint64_t rosterRevision = 0;
     Duration storeUp{};            // how long the sender has had the store without a break; 0: it hasn't
     std::optional<FleetNews> news; // nothing: says nothing of targets this time
+    bool isWhole = true;           // false: the targets that aren't named are as they were
 };
 
 /// Asks for one token of an account, and the answer.
@@ -31,7 +32,20 @@
     bool isGranted = false;
 };
 
-using LinkMessage = std::variant<StatusReport, TokenQuestion, TokenReply>;
+/// Asks a seat holder for what changed in a kind of the store's documents, and the answer.
+struct FeedQuestion
+{
+    std::uint64_t id = 0;
+    std::string kind;
+    std::uint64_t since = 0; // revision
+};
+struct FeedReply
+{
+    std::uint64_t id = 0;
+    std::optional<DocumentChanges> changes; // nothing: ask the store
+};
+
+using LinkMessage = std::variant<StatusReport, TokenQuestion, TokenReply, FeedQuestion, FeedReply>;
 
 std::string encodeDatagram(const VmName &sender, const LinkMessage &message);
 std::optional<std::pair<VmName, LinkMessage>> decodeDatagram(std::string_view bytes); // nothing: not one of ours
--- a/packages/fleet/src/members.cpp
+++ b/packages/fleet/src/members.cpp
@@ -1,11 +1,13 @@
 #include "members.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace Pollenspoke {
 
-Members::Members(VmName self, Duration silenceLimit)
+Members::Members(VmName self, FailureDomain domain, Duration silenceLimit)
     : m_self(std::move(self))
+    , m_domain(std::move(domain))
     , m_silenceLimit(silenceLimit)
 {
 }
@@ -91,14 +93,24 @@
     return live;
 }
 
-// Holders of seats; others only when half of these are gone.
-std::vector<Address> Members::callerAddresses(TimePoint now) const
+// Live holders of seats in the caller's failure domain, so that its bytes stay there; where these are too few to bear the loss
+// of some, all live holders; where these are few, other Vms too.
+std::vector<Address> Members::callerAddresses(const FailureDomain &domain, TimePoint now) const
 {
+    constexpr std::size_t fewestNear = 2;
     std::vector<VmName> chosen = liveHolders(now);
-    const std::size_t wanted = seatCount(m_members.size()) / 2;
-    for (auto it = m_members.begin(); it != m_members.end() && chosen.size() < wanted; ++it) {
-        if (isLive(it->second, now) && std::find(chosen.begin(), chosen.end(), it->first) == chosen.end()) {
-            chosen.push_back(it->first);
+    std::vector<VmName> near;
+    std::copy_if(chosen.begin(), chosen.end(), std::back_inserter(near), [this, &domain](const VmName &it) {
+        return m_members.at(it).registration.failureDomain == domain;
+    });
+    if (near.size() >= fewestNear) {
+        chosen = std::move(near);
+    } else {
+        const std::size_t wanted = seatCount(m_members.size()) / 2;
+        for (auto it = m_members.begin(); it != m_members.end() && chosen.size() < wanted; ++it) {
+            if (isLive(it->second, now) && std::find(chosen.begin(), chosen.end(), it->first) == chosen.end()) {
+                chosen.push_back(it->first);
+            }
         }
     }
     std::vector<Address> addresses;
--- a/packages/fleet/src/members.h
+++ b/packages/fleet/src/members.h
@@ -23,7 +23,7 @@
 public:
     static constexpr Duration freshTime = std::chrono::milliseconds(1500); // a Vm heard of within it likely answers at once
 
-    Members(VmName self, Duration silenceLimit);
+    Members(VmName self, FailureDomain domain, Duration silenceLimit);
 
     void list(const std::vector<std::pair<RegisteredVm, VmRegistration>> &vms, TimePoint now); // replaces all
     void put(const RegisteredVm &vm, const VmRegistration &registration, TimePoint now);
@@ -34,16 +34,18 @@
     bool hadStoreSince(TimePoint since, TimePoint now) const;
     void setLeaving() { m_isLeaving = true; } // this Vm
 
+    bool isNear(const Member &member) const { return member.registration.failureDomain == m_domain; }
     bool isSelf(const VmName &vm) const { return vm == m_self; }
     const Member *find(const VmName &vm) const;
     std::vector<const Member *> others() const;
     std::vector<VmName> holders() const;                         // of seats, by registrations alone
     std::vector<VmName> liveHolders(TimePoint now) const;        // those that may get callers
-    std::vector<Address> callerAddresses(TimePoint now) const;   // where callers should connect
+    std::vector<Address> callerAddresses(const FailureDomain &domain, TimePoint now) const; // where callers there should connect
     bool isLive(const Member &member, TimePoint now) const;
 
 private:
     VmName m_self;
+    FailureDomain m_domain;
     Duration m_silenceLimit;
     bool m_isLeaving = false;
     std::map<VmName, Member> m_members; // this Vm included
--- a/packages/policy/include/pollenspoke/policy.h
+++ b/packages/policy/include/pollenspoke/policy.h
@@ -681,9 +681,9 @@
     Duration memory = std::chrono::seconds(5);                // half-life of a target's own latency towards that of its service
     Duration newsTerm = std::chrono::milliseconds(1500);      // other Vms' news count for so long
     double staleFactor = 4;                                   // a request open for so many usual latencies marks its target doubtful
-    double distanceFactor = 1.25;                             // a target in another failure domain counts as so much slower
+    double distanceFactor = 1.6;                              // a target in another failure domain counts as so much slower
     double coldFactor = 2;                                    // a target that warms up counts as so much slower
-    std::uint32_t candidates = 3;                             // drawn at random for each choice
+    std::uint32_t candidates = 3;                             // of other failure domains, drawn at random for each choice
     std::uint32_t floorPercent = 50;                          // of the serving targets stay in the choice whatever their failures
     std::uint32_t pathWitnesses = 2;                          // other Vms that must miss a target before it is paused here
     auto operator<=>(const BalancerOptions &) const = default;
@@ -725,7 +725,7 @@
     explicit ServiceBalancer(BalancerOptions options = {});
 
     void setTargets(const std::vector<Target> &targets, TimePoint now); // keeps what is known of those that stay
-    void observeNews(const VmName &vm, const std::vector<TargetNews> &news, TimePoint now); // replaces that Vm's earlier news
+    void observeNews(const VmName &vm, const std::vector<TargetNews> &news, bool isWhole, TimePoint now); // whole: replaces all earlier of that Vm
     std::vector<TargetNews> news(TimePoint now) const;                  // of targets with work or a pause
 
     /// Takes a place at the target chosen. Nothing: none has a free slot.
--- a/packages/policy/src/balancer.cpp
+++ b/packages/policy/src/balancer.cpp
@@ -46,10 +46,12 @@
     m_members = std::move(members);
 }
 
-void ServiceBalancer::observeNews(const VmName &vm, const std::vector<TargetNews> &news, TimePoint now)
+void ServiceBalancer::observeNews(const VmName &vm, const std::vector<TargetNews> &news, bool isWhole, TimePoint now)
 {
     for (Member &it : m_members) {
-        it.remotes.erase(vm);
+        if (isWhole) {
+            it.remotes.erase(vm);
+        }
     }
     for (const TargetNews &it : news) {
         if (Member *member = find(it.target)) {
@@ -211,16 +213,18 @@
     if (found.empty()) {
         return std::nullopt;
     }
-    const std::size_t n = std::min<std::size_t>(m_options.candidates, found.size());
+    // All near ones and a few of the others take part.
+    const auto far = std::partition(found.begin(), found.end(), [&request](const Member *it) { return it->target.failureDomain == request.local; });
+    const auto distant = static_cast<std::size_t>(found.end() - far);
+    std::shuffle(far, found.end(), generator);
+    found.resize(found.size() - distant + std::min<std::size_t>(distant, m_options.candidates));
     Member *best = nullptr;
     double bestScore = 0;
     std::uniform_real_distribution<double> noise(1.0, 1.0 + jitter);
-    for (std::size_t i = 0; i < n; ++i) {
-        std::uniform_int_distribution<std::size_t> draw(i, found.size() - 1);
-        std::swap(found[i], found[draw(generator)]);
-        const double itsScore = score(*found[i], request, now) * noise(generator);
+    for (Member *it : found) {
+        const double itsScore = score(*it, request, now) * noise(generator);
         if (best == nullptr || itsScore < bestScore) {
-            best = found[i];
+            best = it;
             bestScore = itsScore;
         }
     }
--- a/packages/policy/src/seats.cpp
+++ b/packages/policy/src/seats.cpp
@@ -5,7 +5,7 @@
 
 namespace {
 
-constexpr std::size_t fewestSeats = 12;   // each sees a tenth of the requests: enough to judge targets, few enough to share tokens
+constexpr std::size_t fewestSeats = 8;    // few enough that each knows how full the targets are, enough to bear the loss of some
 constexpr std::size_t vmsOfFewSeats = 64; // up to so many Vms
 constexpr std::size_t vmsPerSeat = 4;     // beyond them; a seat holder's processor carries the requests of so many
 
--- a/packages/policy/tests/test_balancer.cpp
+++ b/packages/policy/tests/test_balancer.cpp
@@ -82,7 +82,7 @@
         for (std::size_t from = 0; from < m_balancers.size(); ++from) {
             for (std::size_t to = 0; to < m_balancers.size(); ++to) {
                 if (from != to) {
-                    m_balancers[to].observeNews({"vm-" + std::to_string(from)}, m_balancers[from].news(m_now), m_now);
+                    m_balancers[to].observeNews({"vm-" + std::to_string(from)}, m_balancers[from].news(m_now), true, m_now);
                 }
             }
         }
@@ -159,13 +159,26 @@
     Generator generator{1};
     const TimePoint now{1h};
     balancer.setTargets(makeTargets(2), now);
-    balancer.observeNews({"vm-2"}, {{.target = {"t0"}, .inFlight = 2}}, now);
+    balancer.observeNews({"vm-2"}, {{.target = {"t0"}, .inFlight = 2}}, true, now);
     BOOST_TEST(chooseOnce(balancer, {.local = {"fd-a"}}, now, generator) == 1U);
     BOOST_TEST(chooseOnce(balancer, {.local = {"fd-a"}}, now, generator) == 1U);
     BOOST_TEST(chooseOnce(balancer, {.local = {"fd-a"}}, now, generator) == SIZE_MAX);
     BOOST_TEST(chooseOnce(balancer, {.local = {"fd-a"}}, now + 2s, generator) == 0U); // old news is forgotten
 }
 
+BOOST_AUTO_TEST_CASE(news_of_single_targets_leave_the_others_as_they_were)
+{
+    ServiceBalancer balancer;
+    Generator generator{1};
+    const TimePoint now{1h};
+    balancer.setTargets(makeTargets(2), now);
+    balancer.observeNews({"vm-2"}, {{.target = {"t0"}, .inFlight = 2}}, true, now);
+    balancer.observeNews({"vm-2"}, {{.target = {"t1"}, .inFlight = 2}}, false, now);
+    BOOST_TEST(!balancer.choose({.local = {"fd-a"}}, now, generator).has_value());
+    balancer.observeNews({"vm-2"}, {{.target = {"t0"}, .inFlight = 0}}, false, now);
+    BOOST_TEST(chooseOnce(balancer, {.local = {"fd-a"}}, now, generator) == 0U);
+}
+
 // A one-way partition is a fault of the path: one Vm's word doesn't take a target from the others.
 BOOST_AUTO_TEST_CASE(one_vm_that_misses_a_target_keeps_nobody_else_from_it)
 {
@@ -173,9 +186,9 @@
     Generator generator{1};
     const TimePoint now{1h};
     balancer.setTargets(makeTargets(1), now);
-    balancer.observeNews({"vm-2"}, {{.target = {"t0"}, .unreachablePause = 2s}}, now);
+    balancer.observeNews({"vm-2"}, {{.target = {"t0"}, .unreachablePause = 2s}}, true, now);
     BOOST_TEST(balancer.choose({.local = {"fd-a"}}, now, generator).has_value());
-    balancer.observeNews({"vm-3"}, {{.target = {"t0"}, .unreachablePause = 2s}}, now);
+    balancer.observeNews({"vm-3"}, {{.target = {"t0"}, .unreachablePause = 2s}}, true, now);
     balancer.setTargets(makeTargets(3), now);
     for (int i = 0; i < 4; ++i) {
         BOOST_TEST(chooseOnce(balancer, {.local = {"fd-a"}}, now, generator) != 0U);
--- a/packages/proxy/include/pollenspoke/proxy.h
+++ b/packages/proxy/include/pollenspoke/proxy.h
@@ -158,7 +158,7 @@
     std::uint16_t port() const; // the bound port, after start()
 
     void applySnapshot(std::shared_ptr<const Snapshot> snapshot); // older revisions than the one in force are ignored
-    void applyNews(const VmName &vm, const FleetNews &news); // what another Vm says of targets
+    void applyNews(const VmName &vm, const FleetNews &news, bool isWhole); // what another Vm says of targets; whole: of all
     FleetNews news() const;                                  // what this Vm has to say of them
     void setRetryShare(double share);                        // of the reserve of retry budgets that this Vm may use, 0 to 1
     void setVmCount(std::uint32_t n);                        // Vms that share each target's connections, 1 at least
--- a/packages/proxy/src/proxy.cpp
+++ b/packages/proxy/src/proxy.cpp
@@ -249,9 +249,9 @@
     logEvent(Event::SnapshotApplied, {{"revision", std::to_string(snapshot->revision())}});
 }
 
-void Proxy::applyNews(const VmName &vm, const FleetNews &news)
+void Proxy::applyNews(const VmName &vm, const FleetNews &news, bool isWhole)
 {
-    m_impl->dispatcher.targets().applyNews(vm, news);
+    m_impl->dispatcher.targets().applyNews(vm, news, isWhole);
 }
 
 FleetNews Proxy::news() const
--- a/packages/proxy/src/target_table.cpp
+++ b/packages/proxy/src/target_table.cpp
@@ -146,14 +146,14 @@
     }
 }
 
-void TargetTable::applyNews(const VmName &vm, const FleetNews &news)
+void TargetTable::applyNews(const VmName &vm, const FleetNews &news, bool isWhole)
 {
     static const std::vector<TargetNews> nothing;
     const std::lock_guard lock(m_mutex);
     const TimePoint now = m_clock.now();
     for (auto &[name, it] : m_entries) {
         const auto found = news.find(name);
-        it.balancer.observeNews(vm, found == news.end() ? nothing : found->second, now);
+        it.balancer.observeNews(vm, found == news.end() ? nothing : found->second, isWhole, now);
         wakeFirst(it, now);
     }
 }
--- a/packages/proxy/src/target_table.h
+++ b/packages/proxy/src/target_table.h
@@ -65,7 +65,7 @@
     TargetTable(const ProxyOptions &options, const Clock &clock); // both must outlive it
 
     void applySnapshot(const Snapshot &snapshot);
-    void applyNews(const VmName &vm, const FleetNews &news);
+    void applyNews(const VmName &vm, const FleetNews &news, bool isWhole);
     FleetNews news() const;
     void setRetryShare(double share);
 
--- a/packages/telemetry/include/pollenspoke/telemetry.h
+++ b/packages/telemetry/include/pollenspoke/telemetry.h
@@ -38,8 +38,9 @@
     SnapshotsRefused,     // configurations older than the one in force
     ObjectsSkipped,       // stored objects that failed checking
     StoreFailures,        // times that the object store stopped answering
+    StoreCalls,           // calls to a store that Vms share, a watch counted once
 };
-inline constexpr std::size_t counterCount = static_cast<std::size_t>(Counter::StoreFailures) + 1;
+inline constexpr std::size_t counterCount = static_cast<std::size_t>(Counter::StoreCalls) + 1;
 
 /// Present values.
 enum class Gauge {
--- a/packages/telemetry/src/metrics.cpp
+++ b/packages/telemetry/src/metrics.cpp
@@ -37,6 +37,7 @@
     "snapshots_refused",
     "objects_skipped",
     "store_failures",
+    "store_calls",
 };
 constexpr std::array<std::string_view, gaugeCount> gaugeNames{
     "caller_connections",
