--- a/packages/fleet/src/members.cpp
+++ b/packages/fleet/src/members.cpp
@@ -118,6 +118,7 @@
         }
     }
     std::vector<Address> addresses;
+    addresses.reserve(chosen.size());
     for (const VmName &it : chosen) {
         addresses.push_back(m_members.at(it).registration.callers);
     }
--- a/scripts/tidy-one.sh
+++ b/scripts/tidy-one.sh
@@ -11,7 +11,7 @@
 flags+=(-Iapps -Iplatform/include -Iplatform/src -Iplatform/tests -Ipackages/proxy/tests -Ipackages/peer/src/generated -Ipackages/fleet/src/generated -Ibenchmarks -DPOLLENSPOKE_SOURCE_DIR="\"$PWD\"" -DPOLLENSPOKE_BINARY_DIR="\"$PWD/build\"")
 cache=${XDG_CACHE_HOME:-$HOME/.cache}/pollenspoke-tidy
 mkdir -p "$cache"
-sum=$( (cat .clang-tidy packages/*/.clang-tidy scripts/tidy-one.sh; clang++ "${flags[@]}" -E -P "$file") | sha256sum | cut -d' ' -f1)
+sum=$( (cat .clang-tidy packages/*/.clang-tidy platform/.clang-tidy scripts/tidy-one.sh; clang++ "${flags[@]}" -E -P "$file") | sha256sum | cut -d' ' -f1)
 [ -e "$cache/$sum" ] && exit 0
 if ! out=$(clang-tidy --quiet "$file" -- "${flags[@]}" 2>&1); then
     printf '%s\n' "$out" | grep -v 'warnings generated' || true
