--- a/packages/policy/src/quota_pool.cpp
+++ b/packages/policy/src/quota_pool.cpp
@@ -44,7 +44,7 @@
     if (it == m_accounts.end()) {
         Account fresh{
             .bucket = TokenBucket(share(name, limits), m_options.firstTokens, now), .limits = limits, .seatsVersion = m_seatsVersion};
-        return m_accounts.emplace(name, std::move(fresh)).first->second;
+        return m_accounts.emplace(name, fresh).first->second;
     }
     Account &known = it->second;
     if (known.limits != limits || known.seatsVersion != m_seatsVersion) {
