Ask a seat holder that reported something newer first; each third question goes far

Ruled out: the store (stable until 7 s), the Vm's own link. The report of every Vm already carried its newest revision.

--- a/packages/fleet/src/feed.cpp
+++ b/packages/fleet/src/feed.cpp
@@ -11,6 +11,7 @@
 constexpr auto asTuple = net::as_tuple(net::use_awaitable);
 constexpr auto askStep = std::chrono::milliseconds(300);  // between questions: with a holder's own pause a change takes 0.6 s at most
 constexpr auto replyTime = std::chrono::milliseconds(40); // a round trip within the region is about 2 ms
+constexpr std::uint64_t farEvery = 3;                     // each third question goes to a holder of any failure domain
 constexpr int mostMisses = 3;                             // questions in a row without an answer, before the store is watched
 constexpr auto directWait = std::chrono::seconds(2);      // of a watch of the store in place of a holder
 
@@ -71,19 +72,9 @@
     return std::any_of(holders.begin(), holders.end(), [this](const VmName &it) { return m_members.isSelf(it); });
 }
 
-// One that has the store, in this failure domain if there is one.
-const Member *FeedStore::chooseHolder()
+const Member *FeedStore::chooseHolder(std::uint64_t since)
 {
-    const TimePoint now = m_clock.now();
-    std::vector<const Member *> near;
-    std::vector<const Member *> far;
-    for (const VmName &it : m_members.liveHolders(now)) {
-        const Member *member = m_members.find(it);
-        if (!m_members.isSelf(it) && member->storeUpSince && now - member->heardAt < Members::freshTime) {
-            (m_members.isNear(*member) ? near : far).push_back(member);
-        }
-    }
-    const std::vector<const Member *> &found = near.empty() ? far : near;
+    const std::vector<const Member *> found = m_members.feedHolders(since, ++m_questions % farEvery != 0, m_clock.now());
     if (found.empty()) {
         return nullptr;
     }
@@ -124,13 +115,14 @@
     net::steady_timer timer(m_context);
     int misses = 0;
     while (misses < mostMisses && !watchesItself()) {
-        const Member *holder = chooseHolder();
+        const Member *holder = chooseHolder(since);
         if (holder == nullptr) {
             break;
         }
         m_logs[kind].stop();
         std::optional<DocumentChanges> changes = co_await ask(*holder, kind, since);
         misses = changes ? 0 : misses + 1;
+        since = changes ? std::max(since, changes->revision) : since;
         if (changes && (!changes->events.empty() || m_clock.now() >= giveUpAt)) {
             co_return std::move(*changes);
         }
--- a/packages/fleet/src/feed.h
+++ b/packages/fleet/src/feed.h
@@ -58,7 +58,7 @@
     };
 
     bool watchesItself() const;
-    const Member *chooseHolder();
+    const Member *chooseHolder(std::uint64_t since);
     Call<DocumentChanges> watchStore(std::string kind, std::uint64_t since, Duration wait);
     boost::asio::awaitable<std::optional<DocumentChanges>> ask(const Member &holder, std::string kind, std::uint64_t since);
 
@@ -71,6 +71,7 @@
     std::map<std::string, ChangeLog> m_logs;
     std::map<std::uint64_t, Asking> m_asking;
     std::uint64_t m_lastId = 0;
+    std::uint64_t m_questions = 0;
     Generator m_generator;
 };
 
--- a/packages/fleet/src/fleet_vm.cpp
+++ b/packages/fleet/src/fleet_vm.cpp
@@ -448,7 +448,8 @@
 void FleetVm::Impl::takeMessage(const VmName &sender, const LinkMessage &message, const net::ip::udp::endpoint &from)
 {
     if (const auto *status = std::get_if<StatusReport>(&message)) {
-        members.noteReport(sender, status->isLeaving, status->storeUp, clock.now());
+        const std::uint64_t newest = std::max(status->declarationsRevision, status->rosterRevision);
+        members.noteReport(sender, status->isLeaving, status->storeUp, newest, clock.now());
         checkOutage();
         if (status->news) {
             proxy.applyNews(sender, *status->news, status->isWhole);
--- a/packages/fleet/src/members.cpp
+++ b/packages/fleet/src/members.cpp
@@ -47,12 +47,13 @@
         >= witnesses;
 }
 
-void Members::noteReport(const VmName &vm, bool isLeaving, Duration storeUp, TimePoint now)
+void Members::noteReport(const VmName &vm, bool isLeaving, Duration storeUp, std::uint64_t newestRevision, TimePoint now)
 {
     const auto it = m_members.find(vm);
     if (it != m_members.end()) {
         it->second.heardAt = now;
         it->second.isLeaving = isLeaving;
+        it->second.newestRevision = newestRevision;
         it->second.storeUpSince = storeUp > Duration(0) ? std::optional(now - storeUp) : std::nullopt;
     }
 }
@@ -125,4 +126,26 @@
     return addresses;
 }
 
+std::vector<const Member *> Members::feedHolders(std::uint64_t since, bool prefersNear, TimePoint now) const
+{
+    std::vector<const Member *> all;
+    for (const VmName &it : liveHolders(now)) {
+        const Member *member = find(it);
+        if (!isSelf(it) && member->storeUpSince && now - member->heardAt < freshTime) {
+            all.push_back(member);
+        }
+    }
+    const auto select = [&all](const auto &isWanted) {
+        std::vector<const Member *> found;
+        std::copy_if(all.begin(), all.end(), std::back_inserter(found), isWanted);
+        return found;
+    };
+    std::vector<const Member *> newer = select([since](const Member *it) { return it->newestRevision > since; });
+    if (!newer.empty()) {
+        return newer;
+    }
+    std::vector<const Member *> near = select([this](const Member *it) { return isNear(*it); });
+    return prefersNear && !near.empty() ? near : all;
+}
+
 } // namespace Pollenspoke
--- a/packages/fleet/src/members.h
+++ b/packages/fleet/src/members.h
@@ -14,6 +14,7 @@
     std::uint64_t registeredAt = 0;        // store revision
     TimePoint heardAt;                     // of its last report; at first, when it was first listed
     std::optional<TimePoint> storeUpSince; // by its last report
+    std::uint64_t newestRevision = 0;      // of the store, that it knows of, by its last report
     bool isLeaving = false;
 };
 
@@ -28,7 +29,7 @@
     void list(const std::vector<std::pair<RegisteredVm, VmRegistration>> &vms, TimePoint now); // replaces all
     void put(const RegisteredVm &vm, const VmRegistration &registration, TimePoint now);
     void remove(const VmName &vm);
-    void noteReport(const VmName &vm, bool isLeaving, Duration storeUp, TimePoint now);
+    void noteReport(const VmName &vm, bool isLeaving, Duration storeUp, std::uint64_t newestRevision, TimePoint now);
 
     /// Whether other Vms say that they had the store all the time since then.
     bool hadStoreSince(TimePoint since, TimePoint now) const;
@@ -43,6 +44,10 @@
     std::vector<Address> callerAddresses(const FailureDomain &domain, TimePoint now) const; // where callers there should connect
     bool isLive(const Member &member, TimePoint now) const;
 
+    /// Seat holders to ask for changes after a revision. A holder that was cut off from the store doesn't know it at once, so
+    /// those that reported something newer come before all others.
+    std::vector<const Member *> feedHolders(std::uint64_t since, bool prefersNear, TimePoint now) const;
+
 private:
     VmName m_self;
     FailureDomain m_domain;
