--- a/packages/proxy/tests/test_target_connections.cpp
+++ b/packages/proxy/tests/test_target_connections.cpp
@@ -569,3 +569,37 @@
     BOOST_TEST(answer.header("Pollenspoke-Run") == "unknown"); // the first attempt may have run
     BOOST_TEST(target.connectionsWithBytes() == 1U);
 }
+
+// Seen on bvf-gateway, quiet-1: a request of a route with one attempt ran on two targets, since the first connection was silent.
+BOOST_AUTO_TEST_CASE(a_route_of_one_attempt_stays_with_its_target_when_a_pooled_connection_is_silent)
+{
+    std::array<ScriptedTarget *, 2> targets{};
+    const auto silentAfterOne = [&targets](std::size_t index) {
+        return [&targets, index](TargetPeer &peer) {
+            for (std::size_t n = 0; const std::optional<SeenRequest> request = peer.readRequest(); ++n) {
+                targets.at(index)->noteRequest(*request);
+                if (n != 0) {
+                    peer.stayOpen();
+                    return;
+                }
+                peer.answer(*request, "well");
+            }
+        };
+    };
+    ScriptedTarget first(silentAfterOne(0));
+    ScriptedTarget second(silentAfterOne(1));
+    targets = {&first, &second};
+    ProxyFixture fixture({.targets = {first.address(), second.address()}, .routeFields = ", deadline_ms: 800, max_attempts: 1"});
+    RawCaller caller(fixture.port());
+    std::string path;
+    for (int i = 0; i < 20 && fixture.metrics().retries(RetryReason::StaleConnection) == 0; ++i) {
+        path = "/work/" + std::to_string(i) + "-";
+        BOOST_TEST(caller.ask("GET", path).status == 200U);
+    }
+    BOOST_TEST(fixture.metrics().retries(RetryReason::StaleConnection) != 0U);
+    const auto saw = [&path](const ScriptedTarget &target) {
+        const std::vector<SeenRequest> seen = target.requests();
+        return std::any_of(seen.begin(), seen.end(), [&path](const SeenRequest &it) { return it.head.find(path) != std::string::npos; });
+    };
+    BOOST_TEST(saw(first) != saw(second));
+}
