--- a/apps/pollenspoked/settings.cpp
+++ b/apps/pollenspoked/settings.cpp
@@ -1,6 +1,7 @@
 #include "settings.h"
 
 #include <algorithm>
+#include <cmath>
 #include <fstream>
 #include <set>
 #include <sstream>
@@ -222,7 +223,11 @@
     section.readMs("address_ttl_ms", fleet.addressTtl);
     section.readMs("watch_wait_ms", fleet.watchWait);
     section.readMs("watch_pause_ms", fleet.watchPause);
-    section.readMs("register_delay_ms", fleet.registerDelay);
+    double cpuShare = 1;
+    double cpuSpeed = 1;
+    section.readReal("cpu_share", cpuShare, 0.001, 1000);
+    section.readReal("cpu_speed", cpuSpeed, 0.001, 1000);
+    fleet.millicores = static_cast<std::uint32_t>(std::lround(std::min(cpuShare * cpuSpeed, 1000.0) * 1000));
     section.readMs("status_period_ms", fleet.statusPeriod);
     section.readMs("news_period_ms", fleet.newsPeriod);
     section.readMs("silence_limit_ms", fleet.silenceLimit);
--- a/packages/fleet/include/pollenspoke/fleet.h
+++ b/packages/fleet/include/pollenspoke/fleet.h
@@ -94,6 +94,7 @@
     Address callers;
     Address peers;
     FailureDomain failureDomain;
+    std::uint32_t millicores = 0; // of processor, that the Vm may use
     auto operator<=>(const VmRegistration &) const = default;
 };
 
@@ -167,10 +168,10 @@
     Address addresses;                                       // callers ask here where to connect
     Address metrics;                                         // port 0: none
     Address peers;                                           // datagrams of the other Vms
+    std::uint32_t millicores = 1000;                         // of processor, that this Vm may use: strong Vms take callers first
     Duration addressTtl = std::chrono::seconds(2);           // how long callers may keep an answer
     Duration watchWait = std::chrono::seconds(25);           // longest wait of one watch; each is a priced call
     Duration watchPause = std::chrono::milliseconds(250);    // between watches, so that one call brings several changes
-    Duration registerDelay{0};                               // before the first registration: a weak machine lets others take the seats
     Duration statusPeriod = std::chrono::milliseconds(1000); // between reports to all Vms
     Duration newsPeriod = std::chrono::milliseconds(40);     // between reports to seat holders of what changed at targets
     Duration silenceLimit = std::chrono::milliseconds(3000); // a Vm not heard of for so long is left out of the answers
--- a/packages/fleet/src/fleet_vm.cpp
+++ b/packages/fleet/src/fleet_vm.cpp
@@ -15,6 +15,7 @@
 constexpr auto registerPause = std::chrono::seconds(1);     // after a failed try to register
 constexpr auto rosterStep = std::chrono::milliseconds(100); // longest delay of a target's drop after its time
 constexpr auto fenceTime = std::chrono::seconds(30);        // a Vm that heard of no other one for so long uses no seat
+constexpr double mostMillicores = 1e6;                      // of a registration: more is no Vm's
 constexpr auto goneTime = std::chrono::seconds(90);         // a Vm that nobody heard of for so long loses its registration
 
 JsonValue encodeRegistration(const VmRegistration &registration)
@@ -23,6 +24,7 @@
     spec.add("callers", toString(registration.callers));
     spec.add("peers", toString(registration.peers));
     spec.add("failure_domain", registration.failureDomain.value);
+    spec.addNumber("millicores", registration.millicores);
     return spec;
 }
 
@@ -70,7 +72,13 @@
     if (!callers || !peers) {
         return std::nullopt;
     }
-    return VmRegistration{.callers = *callers, .peers = *peers, .failureDomain = {text("failure_domain")}};
+    const JsonValue *millicores = spec.find("millicores");
+    const bool hasMillicores = millicores != nullptr && millicores->type == JsonValue::Type::Number && millicores->number >= 0
+        && millicores->number <= mostMillicores;
+    return VmRegistration{.callers = *callers,
+                          .peers = *peers,
+                          .failureDomain = {text("failure_domain")},
+                          .millicores = hasMillicores ? static_cast<std::uint32_t>(millicores->number) : 0};
 }
 
 } // namespace
@@ -100,6 +108,7 @@
     void followAll();
     void takeRegistrations(const DocumentList &list);
     void takeRegistration(const DocumentChange &change);
+    VmRegistration ownRegistration() const;
     void publishMembers();
     net::awaitable<void> registerSelf(std::optional<StoredDocument> present);
     void publishConfiguration();
@@ -289,12 +298,11 @@
         }
         registrations[name] = it.revision;
         if (const auto registration = decodeRegistration(it.spec)) {
-            vms.emplace_back(RegisteredVm{name, registration->failureDomain, it.created}, *registration);
+            vms.emplace_back(RegisteredVm{name, registration->failureDomain, it.created, registration->millicores}, *registration);
         }
     }
     members.list(vms, clock.now());
-    const VmRegistration wanted{options.proxy.callers, options.peers, options.proxy.failureDomain};
-    const bool isRegistered = own && decodeRegistration(own->spec) == wanted;
+    const bool isRegistered = own && decodeRegistration(own->spec) == ownRegistration();
     if (!isRegistered && !isRegistering) {
         isRegistering = true;
         net::co_spawn(context, registerSelf(std::move(own)), net::detached);
@@ -316,7 +324,15 @@
         return;
     }
     registrations[name] = document.revision;
-    members.put({name, registration->failureDomain, document.created}, *registration, clock.now());
+    members.put({name, registration->failureDomain, document.created, registration->millicores}, *registration, clock.now());
+}
+
+VmRegistration FleetVm::Impl::ownRegistration() const
+{
+    return {.callers = options.proxy.callers,
+            .peers = options.peers,
+            .failureDomain = options.proxy.failureDomain,
+            .millicores = options.millicores};
 }
 
 void FleetVm::Impl::publishMembers()
@@ -334,9 +350,7 @@
 net::awaitable<void> FleetVm::Impl::registerSelf(std::optional<StoredDocument> present)
 {
     net::steady_timer timer(context);
-    timer.expires_after(options.registerDelay);
-    co_await timer.async_wait(net::use_awaitable);
-    const JsonValue spec = encodeRegistration({options.proxy.callers, options.peers, options.proxy.failureDomain});
+    const JsonValue spec = encodeRegistration(ownRegistration());
     for (;;) {
         const std::string &name = options.proxy.vm.value;
         Result<StoredDocument> written; // not by a conditional expression: GCC 12 destroys its awaited temporaries twice
--- a/packages/fleet/src/members.cpp
+++ b/packages/fleet/src/members.cpp
@@ -85,10 +85,12 @@
     std::vector<RegisteredVm> vms;
     vms.reserve(m_members.size());
     for (const auto &[name, it] : m_members) {
-        vms.push_back({.name = name, .failureDomain = it.registration.failureDomain, .registeredAt = it.registeredAt});
+        vms.push_back({.name = name,
+                       .failureDomain = it.registration.failureDomain,
+                       .registeredAt = it.registeredAt,
+                       .millicores = it.registration.millicores});
     }
-    const std::size_t seats = seatCount(vms.size());
-    return assignSeats(std::move(vms), seats);
+    return assignSeats(std::move(vms));
 }
 
 std::vector<VmName> Members::liveHolders(TimePoint now) const
@@ -111,7 +113,7 @@
     if (near.size() >= fewestNear) {
         chosen = std::move(near);
     } else {
-        const std::size_t wanted = seatCount(m_members.size()) / 2;
+        const std::size_t wanted = holders().size() / 2;
         for (auto it = m_members.begin(); it != m_members.end() && chosen.size() < wanted; ++it) {
             if (isLive(it->second, now) && std::find(chosen.begin(), chosen.end(), it->first) == chosen.end()) {
                 chosen.push_back(it->first);
--- a/packages/policy/include/pollenspoke/policy.h
+++ b/packages/policy/include/pollenspoke/policy.h
@@ -12,7 +12,7 @@
 /// - [7] Rate and burst across the fleet (QuotaOptions, QuotaEvent, QuotaCommand, QuotaLedger)
 /// - [8] Balancing of one service  (AttemptEnd, BalancerOptions, TargetNews, ServiceBalancer)
 /// - [9] Repeats of one service    (RetryBudgetOptions, RetryBudget)
-/// - [10] Seats                    (RegisteredVm, seatCount(), assignSeats())
+/// - [10] Seats                    (RegisteredVm, assignSeats())
 /// - [11] Tokens of an account     (QuotaPoolOptions, QuotaPool)
 /// - [12] Roster of targets        (RosterEntry, TargetRoster)
 ///
@@ -832,18 +832,21 @@
 // [10] Seats
 //-----------------------------------------------------------------------------
 // Callers are sent to a part of the Vms, the seat holders: these see enough requests to judge targets, and hold the tokens
-// of all accounts in equal shares. Earlier registrations keep their seats, so that a new Vm moves nobody's tokens.
+// of all accounts in equal shares. Among Vms of one size earlier registrations keep their seats, so that a new Vm moves
+// nobody's tokens.
 
 struct RegisteredVm
 {
     VmName name;
     FailureDomain failureDomain;
-    std::uint64_t registeredAt = 0; // store revision of the registration
+    std::uint64_t registeredAt = 0;    // store revision of the registration
+    std::uint32_t millicores = 0;      // of processor, that the Vm may use
     auto operator<=>(const RegisteredVm &) const = default;
 };
 
-std::size_t seatCount(std::size_t vms);                                            // seats of a fleet of so many Vms
-std::vector<VmName> assignSeats(std::vector<RegisteredVm> vms, std::size_t seats); // in turn over failure domains, earliest first
+/// In turn over failure domains; in each the strongest Vms first, then the earliest. At least 8 seats and 2 for each failure
+/// domain; in a fleet of more than 64 Vms, so many that their holders have a fifth of its processors.
+std::vector<VmName> assignSeats(std::vector<RegisteredVm> vms);
 
 //-----------------------------------------------------------------------------
 // [11] Tokens of an account
