Watch the store from four VMs, list it old at the start, report to those who need it

Each VM listed three kinds and watched them until it knew the others; ten seat holders watched every change; each VM told all others every second that it lives, which grows with the square of the fleet; a watch of 25 s outlived the store's history of 20 s.

--- a/packages/fleet/include/pollenspoke/fleet.h
+++ b/packages/fleet/include/pollenspoke/fleet.h
@@ -2,7 +2,7 @@
 /// One Vm among others: follows what the platform's store holds, talks to the other Vms, and tells callers where to connect.
 ///
 /// Index of this file:
-/// - [1] Document store  (StoredDocument, DocumentList, DocumentChanges, DocumentStore)
+/// - [1] Document store  (StoredDocument, DocumentList, DocumentChanges, ListAge, DocumentStore)
 /// - [2] Platform        (Declarations, TargetRecord, VmRegistration, PlatformFormat, PlatformAdapter)
 /// - [3] Pages           (PageRequest, Page, PageServer)
 /// - [4] Fleet           (FleetOptions, FleetVm)
@@ -53,6 +53,12 @@
     std::vector<DocumentChange> events;
 };
 
+/// How new a list must be.
+enum class ListAge {
+    Current,  // every change that was acknowledged before the call
+    MayBeOld, // seconds old, and cheap: a watch from its revision brings the rest
+};
+
 /// The platform's store, by kinds of documents. Errors: NotFound, VersionConflict, TooOld (the history is gone: list again),
 /// Unavailable (nothing was done), OutcomeUnknown (a write without an answer), InvalidSyntax (no answer in the protocol).
 class DocumentStore
@@ -62,7 +68,7 @@
     using Call = boost::asio::awaitable<Result<Value>>;
 
     virtual ~DocumentStore() = default;
-    virtual Call<DocumentList> list(std::string kind) = 0;
+    virtual Call<DocumentList> list(std::string kind, ListAge age) = 0;
     virtual Call<DocumentChanges> watch(std::string kind, std::uint64_t since, Duration wait) = 0;
     virtual Call<StoredDocument> create(std::string kind, std::string name, JsonValue spec) = 0;
     virtual Call<StoredDocument> replace(std::string kind, std::string name, JsonValue spec, std::uint64_t revision) = 0;
--- a/packages/fleet/src/feed.cpp
+++ b/packages/fleet/src/feed.cpp
@@ -13,6 +13,7 @@
 constexpr auto replyTime = std::chrono::milliseconds(40); // a round trip within the region is about 2 ms
 constexpr std::uint64_t farEvery = 3;                     // each third question goes to a holder of any failure domain
 constexpr int mostMisses = 3;                             // questions in a row without an answer, before the store is watched
+constexpr auto settleTime = std::chrono::milliseconds(2500); // of a new process: by then it has heard who watches the store
 constexpr auto directWait = std::chrono::seconds(2);      // of a watch of the store in place of a holder
 
 } // namespace
@@ -63,13 +64,14 @@
     , m_clock(clock)
     , m_metrics(metrics)
     , m_generator(std::random_device{}())
+    , m_startedAt(clock.now())
 {
 }
 
 bool FeedStore::watchesItself() const
 {
-    const std::vector<VmName> holders = m_members.holders();
-    return std::any_of(holders.begin(), holders.end(), [this](const VmName &it) { return m_members.isSelf(it); });
+    const std::vector<VmName> watchers = m_members.watchers(m_clock.now());
+    return std::any_of(watchers.begin(), watchers.end(), [this](const VmName &it) { return m_members.isSelf(it); });
 }
 
 const Member *FeedStore::chooseHolder(std::uint64_t since)
@@ -82,10 +84,10 @@
     return found[draw(m_generator)];
 }
 
-DocumentStore::Call<DocumentList> FeedStore::list(std::string kind)
+DocumentStore::Call<DocumentList> FeedStore::list(std::string kind, ListAge age)
 {
     m_metrics.count(Counter::StoreCalls);
-    Result<DocumentList> listed = co_await m_store.list(kind);
+    Result<DocumentList> listed = co_await m_store.list(kind, age);
     if (listed && watchesItself()) {
         m_logs[kind].startAt(listed->revision);
     } else {
@@ -116,12 +118,16 @@
     int misses = 0;
     while (misses < mostMisses && !watchesItself()) {
         const Member *holder = chooseHolder(since);
-        if (holder == nullptr) {
+        const bool isSettling = m_clock.now() - m_startedAt < settleTime;
+        if (holder == nullptr && !isSettling) {
             break;
         }
         m_logs[kind].stop();
-        std::optional<DocumentChanges> changes = co_await ask(*holder, kind, since);
-        misses = changes ? 0 : misses + 1;
+        std::optional<DocumentChanges> changes;
+        if (holder != nullptr) {
+            changes = co_await ask(*holder, kind, since);
+        }
+        misses = changes || isSettling ? 0 : misses + 1;
         since = changes ? std::max(since, changes->revision) : since;
         if (changes && (!changes->events.empty() || m_clock.now() >= giveUpAt)) {
             co_return std::move(*changes);
--- a/packages/fleet/src/feed.h
+++ b/packages/fleet/src/feed.h
@@ -14,7 +14,7 @@
 {
 public:
     static constexpr std::size_t mostKept = 1000;        // changes; the oldest are forgotten
-    static constexpr std::size_t mostReplyBytes = 16384; // of the documents in one reply, which is one datagram
+    static constexpr std::size_t mostReplyBytes = 32768; // of the documents in one reply, which is one datagram
 
     void startAt(std::uint64_t revision); // after a list: nothing from before is known
     void add(const DocumentChanges &changes);
@@ -41,7 +41,7 @@
     /// All must outlive it. Used on one event loop.
     FeedStore(boost::asio::io_context &context, DocumentStore &store, Link &link, Members &members, const Clock &clock, Metrics &metrics);
 
-    Call<DocumentList> list(std::string kind) override;
+    Call<DocumentList> list(std::string kind, ListAge age) override;
     Call<DocumentChanges> watch(std::string kind, std::uint64_t since, Duration wait) override;
     Call<StoredDocument> create(std::string kind, std::string name, JsonValue spec) override;
     Call<StoredDocument> replace(std::string kind, std::string name, JsonValue spec, std::uint64_t revision) override;
@@ -73,6 +73,7 @@
     std::uint64_t m_lastId = 0;
     std::uint64_t m_questions = 0;
     Generator m_generator;
+    TimePoint m_startedAt;
 };
 
 } // namespace Pollenspoke
--- a/packages/fleet/src/fleet_vm.cpp
+++ b/packages/fleet/src/fleet_vm.cpp
@@ -13,6 +13,7 @@
 
 constexpr auto asTuple = net::as_tuple(net::use_awaitable);
 constexpr auto registerPause = std::chrono::seconds(1);     // after a failed try to register
+constexpr auto joinTime = std::chrono::seconds(1);          // of a new fleet: its Vms start within 0.3 s of each other
 constexpr auto rosterStep = std::chrono::milliseconds(100); // longest delay of a target's drop after its time
 constexpr auto fenceTime = std::chrono::seconds(30);        // a Vm that heard of no other one for so long uses no seat
 constexpr double mostMillicores = 1e6;                      // of a registration: more is no Vm's
@@ -53,7 +54,7 @@
     }
     for (const auto &[service, targets] : before) {
         for (const TargetNews &it : targets) {
-            if (it.inFlight != 0 && findNews(after, service, it.target) == nullptr) {
+            if ((it.inFlight != 0 || it.failures != 0) && findNews(after, service, it.target) == nullptr) {
                 changes[service].push_back(TargetNews{.target = it.target});
             }
         }
@@ -106,6 +107,7 @@
     bool isReady() const { return hasSnapshot && !isLeaving; }
     Page answerPage(const PageRequest &request);
     void followAll();
+    net::awaitable<void> joinFleet();
     void takeRegistrations(const DocumentList &list);
     void takeRegistration(const DocumentChange &change);
     VmRegistration ownRegistration() const;
@@ -259,13 +261,32 @@
                   .onChanged = [this] { publishMembers(); },
                   .onLost = onLost,
                   .onHeard = onHeard};
-    const auto follow = [this](const std::string &kind, const FollowHandler &handler, Duration pause) {
-        const FollowOptions followed{.kind = kind, .watchWait = options.watchWait, .watchPause = pause};
+    const auto follow = [this](const std::string &kind, const FollowHandler &handler) {
+        const FollowOptions followed{.kind = kind, .watchWait = options.watchWait, .watchPause = options.watchPause};
         net::co_spawn(context, followKind(feed, followed, handler), net::detached);
     };
-    follow(format.declarationsKind(), declarationsHandler, options.watchPause);
-    follow(format.targetsKind(), targetsHandler, options.watchPause);
-    follow(format.vmsKind(), vmsHandler, options.statusPeriod);
+    follow(format.declarationsKind(), declarationsHandler);
+    follow(format.targetsKind(), targetsHandler);
+    net::co_spawn(context, joinFleet(), net::detached);
+}
+
+// Registers first: whether the name was taken says whether this is a restart, after which an old list will do. The Vms of a
+// new fleet register together, so a new one waits before it reads who is there.
+net::awaitable<void> FleetVm::Impl::joinFleet()
+{
+    isRegistering = true;
+    const JsonValue spec = encodeRegistration(ownRegistration());
+    const Result<StoredDocument> created = co_await feed.create(format.vmsKind(), options.proxy.vm.value, spec);
+    FollowOptions followed{.kind = format.vmsKind(), .watchWait = options.watchWait, .watchPause = options.statusPeriod};
+    if (created) {
+        followed.firstList = ListAge::Current;
+        net::steady_timer timer(context, joinTime);
+        co_await timer.async_wait(net::use_awaitable);
+    } else if (created.error().code != ErrorCode::VersionConflict) {
+        noteStore(false, describe(created.error())); // the list below tells whether it must be made again
+    }
+    isRegistering = false;
+    co_await followKind(feed, followed, vmsHandler);
 }
 
 // Registrations that lapsed in an outage of the store are dropped without an event.
@@ -345,6 +366,7 @@
     logEvent(
         Event::SeatsAssigned,
         {{"vms", std::to_string(registrations.size())}, {"holders", std::to_string(holders.size())}, {"own", holdsSeat ? "yes" : "no"}});
+    report(members.reportReceivers(), std::nullopt); // a Vm that starts again is heard of, and hears, at once
 }
 
 net::awaitable<void> FleetVm::Impl::registerSelf(std::optional<StoredDocument> present)
@@ -427,7 +449,7 @@
 {
     net::steady_timer timer(context);
     for (;;) {
-        report(members.others(), std::nullopt);
+        report(members.reportReceivers(), std::nullopt);
         timer.expires_after(options.statusPeriod);
         co_await timer.async_wait(net::use_awaitable);
     }
@@ -512,7 +534,7 @@
     net::post(context, [this] {
         isLeaving = true;
         members.setLeaving();
-        report(members.others(), std::nullopt);
+        report(members.reportReceivers(), std::nullopt);
     });
     proxy.beginLeave();
     std::this_thread::sleep_for(options.leaveTime);
--- a/packages/fleet/src/kind_follower.cpp
+++ b/packages/fleet/src/kind_follower.cpp
@@ -51,12 +51,13 @@
 
     net::awaitable<bool> list()
     {
-        const Result<DocumentList> listed = co_await m_store.list(m_options.kind);
+        const Result<DocumentList> listed = co_await m_store.list(m_options.kind, m_listAge);
         if (!listed) {
             m_handler.onLost(listed.error());
             co_return false;
         }
         noteHeard();
+        m_listAge = ListAge::Current; // a later list must not take back what is known
         m_revision = listed->revision;
         m_handler.onList(*listed);
         m_handler.onChanged();
@@ -90,6 +91,7 @@
     FollowOptions m_options;
     const FollowHandler &m_handler;
     std::uint64_t m_revision = 0; // 0: not listed yet, or the history is gone
+    ListAge m_listAge = m_options.firstList;
     Duration m_pause = m_options.firstPause;
 };
 
--- a/packages/fleet/src/kind_follower.h
+++ b/packages/fleet/src/kind_follower.h
@@ -19,6 +19,7 @@
 struct FollowOptions
 {
     std::string kind;
+    ListAge firstList = ListAge::MayBeOld;
     Duration watchWait = std::chrono::seconds(25);
     Duration watchPause = std::chrono::milliseconds(250);
     Duration firstPause = std::chrono::milliseconds(150); // after a failed call; doubles with each
--- a/packages/fleet/src/members.cpp
+++ b/packages/fleet/src/members.cpp
@@ -128,13 +128,37 @@
     return addresses;
 }
 
+std::vector<const Member *> Members::reportReceivers() const
+{
+    const std::vector<VmName> seats = holders();
+    const auto isHolder = [&seats](const VmName &vm) { return std::find(seats.begin(), seats.end(), vm) != seats.end(); };
+    std::vector<const Member *> receivers = others();
+    if (!isHolder(m_self)) {
+        std::erase_if(receivers, [this, &isHolder](const Member *it) { return !isNear(*it) && !isHolder(it->name); });
+    }
+    return receivers;
+}
+
+std::vector<VmName> Members::watchers(TimePoint now) const
+{
+    constexpr std::size_t mostWatchers = 4; // holders come in turn over failure domains: the loss of one leaves others
+    std::vector<VmName> chosen;
+    for (const VmName &it : holders()) {
+        const Member &member = m_members.at(it);
+        const bool hasStore = isSelf(it) || (member.storeUpSince && now - member.heardAt < freshTime);
+        if (chosen.size() < mostWatchers && hasStore && isLive(member, now)) {
+            chosen.push_back(it);
+        }
+    }
+    return chosen;
+}
+
 std::vector<const Member *> Members::feedHolders(std::uint64_t since, bool prefersNear, TimePoint now) const
 {
     std::vector<const Member *> all;
-    for (const VmName &it : liveHolders(now)) {
-        const Member *member = find(it);
-        if (!isSelf(it) && member->storeUpSince && now - member->heardAt < freshTime) {
-            all.push_back(member);
+    for (const VmName &it : watchers(now)) {
+        if (!isSelf(it)) {
+            all.push_back(find(it));
         }
     }
     const auto select = [&all](const auto &isWanted) {
--- a/packages/fleet/src/members.h
+++ b/packages/fleet/src/members.h
@@ -44,8 +44,15 @@
     std::vector<Address> callerAddresses(const FailureDomain &domain, TimePoint now) const; // where callers there should connect
     bool isLive(const Member &member, TimePoint now) const;
 
-    /// Seat holders to ask for changes after a revision. A holder that was cut off from the store doesn't know it at once, so
-    /// those that reported something newer come before all others.
+    /// Those that a report of this Vm goes to: all others if it holds a seat, else the seat holders and the Vms of its own
+    /// failure domain. So each Vm hears of all that it may name to callers, and reports don't grow with the square of the fleet.
+    std::vector<const Member *> reportReceivers() const;
+
+    /// Seat holders that watch the store; the others, this Vm included, ask them for changes.
+    std::vector<VmName> watchers(TimePoint now) const;
+
+    /// Watchers to ask for changes after a revision. One that was cut off from the store doesn't know it at once, so those
+    /// that reported something newer come before all others.
     std::vector<const Member *> feedHolders(std::uint64_t since, bool prefersNear, TimePoint now) const;
 
 private:
