--- a/packages/fleet/src/feed.cpp
+++ b/packages/fleet/src/feed.cpp
@@ -12,7 +12,6 @@
 constexpr auto askStep = std::chrono::milliseconds(300);  // between questions: with a holder's own pause a change takes 0.6 s at most
 constexpr auto replyTime = std::chrono::milliseconds(40); // a round trip within the region is about 2 ms
 constexpr std::uint64_t farEvery = 3;                     // each third question goes to a holder of any failure domain
-constexpr int mostMisses = 3;                             // questions in a row without an answer, before the store is watched
 constexpr auto settleTime = std::chrono::milliseconds(2500); // of a new process: by then it has heard who watches the store
 constexpr auto directWait = std::chrono::seconds(2);      // of a watch of the store in place of a holder
 
@@ -115,22 +114,29 @@
 {
     const TimePoint giveUpAt = m_clock.now() + wait;
     net::steady_timer timer(m_context);
-    int misses = 0;
-    while (misses < mostMisses && !watchesItself()) {
+    FeedMisses misses;
+    while (!misses.areMany() && !watchesItself()) {
         const Member *holder = chooseHolder(since);
         const bool isSettling = m_clock.now() - m_startedAt < settleTime;
         if (holder == nullptr && !isSettling) {
             break;
         }
         m_logs[kind].stop();
-        std::optional<DocumentChanges> changes;
+        std::optional<FeedReply> reply;
         if (holder != nullptr) {
-            changes = co_await ask(*holder, kind, since);
+            reply = co_await ask(*holder, kind, since);
+        }
+        const std::optional<DocumentChanges> changes = reply ? std::move(reply->changes) : std::nullopt;
+        if (changes) {
+            misses.noteChanges();
+        } else if (reply) {
+            misses.noteUnknown();
+        } else if (!isSettling) {
+            misses.noteSilence();
         }
-        misses = changes || isSettling ? 0 : misses + 1;
         since = changes ? std::max(since, changes->revision) : since;
         if (changes && (!changes->events.empty() || m_clock.now() >= giveUpAt)) {
-            co_return std::move(*changes);
+            co_return *changes;
         }
         timer.expires_after(askStep);
         co_await timer.async_wait(net::use_awaitable);
@@ -139,18 +145,15 @@
     co_return co_await watchStore(kind, since, longest);
 }
 
-net::awaitable<std::optional<DocumentChanges>> FeedStore::ask(const Member &holder, std::string kind, std::uint64_t since)
+net::awaitable<std::optional<FeedReply>> FeedStore::ask(const Member &holder, std::string kind, std::uint64_t since)
 {
     const std::uint64_t id = ++m_lastId;
     Asking &asking = m_asking.emplace(id, Asking{.timer = net::steady_timer(m_context, replyTime)}).first->second;
     m_link.send(holder.registration.peers, FeedQuestion{.id = id, .kind = kind, .since = since});
     co_await asking.timer.async_wait(asTuple);
-    std::optional<DocumentChanges> changes;
-    if (asking.reply) {
-        changes = std::move(asking.reply->changes);
-    }
+    std::optional<FeedReply> reply = std::move(asking.reply);
     m_asking.erase(id);
-    co_return changes;
+    co_return reply;
 }
 
 FeedReply FeedStore::answer(const FeedQuestion &question) const
--- a/packages/fleet/src/feed.h
+++ b/packages/fleet/src/feed.h
@@ -34,6 +34,21 @@
     std::deque<Kept> m_changes;
 };
 
+/// Questions that brought no changes, until the store is asked in place of a holder.
+class FeedMisses
+{
+public:
+    void noteChanges() { m_count = 0; }
+    void noteUnknown() { m_count += 2; } // a holder answered that it doesn't know that far back: the next may
+    void noteSilence() { ++m_count; }
+    bool areMany() const { return m_count >= most; }
+
+private:
+    static constexpr int most = 3; // a lost datagram or two are no reason to call the store
+
+    int m_count = 0;
+};
+
 /// The store as a Vm uses it: itself while it holds a seat, else by way of a seat holder, and itself where none answers.
 class FeedStore final : public DocumentStore
 {
@@ -60,7 +75,7 @@
     bool watchesItself() const;
     const Member *chooseHolder(std::uint64_t since);
     Call<DocumentChanges> watchStore(std::string kind, std::uint64_t since, Duration wait);
-    boost::asio::awaitable<std::optional<DocumentChanges>> ask(const Member &holder, std::string kind, std::uint64_t since);
+    boost::asio::awaitable<std::optional<FeedReply>> ask(const Member &holder, std::string kind, std::uint64_t since);
 
     boost::asio::io_context &m_context;
     DocumentStore &m_store;
