--- a/packages/policy/include/pollenspoke/policy.h
+++ b/packages/policy/include/pollenspoke/policy.h
@@ -690,6 +690,9 @@
     double coldFactor = 2;                                   // a target that warms up counts as so much slower
     std::uint32_t candidates = 3;                            // of other failure domains, drawn at random for each choice
     std::uint32_t floorPercent = 50;                         // of the serving targets stay in the choice whatever their failures
+    std::uint32_t strainedFloorPercent = 85;                 // the same of those that are avoided, while the service serves too few
+    double strainedShare = 0.05;                             // of requests not served, from which on it does
+    Duration strainMemory = std::chrono::milliseconds(1500); // half-life of what is known of requests served
     std::uint32_t pathWitnesses = 2;                         // other Vms that must miss a target before it is paused here
     auto operator<=>(const BalancerOptions &) const = default;
 };
@@ -741,6 +744,10 @@
     std::optional<Target> choose(const ChoiceRequest &request, TimePoint now, Generator &generator);
     std::optional<TargetPause> end(const TargetName &target, AttemptEnd end, Duration latency, TimePoint startedAt, TimePoint now);
 
+    /// How a request for the service ended, refused ones included. While too many aren't served, targets that failed lately get
+    /// work again, but for a few, so that those left don't carry it all.
+    void noteRequest(bool isServed, TimePoint now);
+
     Duration usualLatency() const;                        // of whole answers
     std::uint32_t openAt(const TargetName &target) const; // requests of this Vm
     std::uint32_t freeSlots(TimePoint now) const;         // of targets that may get work
@@ -781,7 +788,9 @@
     double expectedLatency(const Member &member, TimePoint now) const;
     double score(const Member &member, const ChoiceRequest &request, TimePoint now) const;
     TimePoint floorTime(TimePoint now) const;
-    bool isAvoided(const Member &member, const ChoiceRequest &request, TimePoint now) const;
+    TimePoint avoidedUntil(const Member &member, const ChoiceRequest &request) const;
+    TimePoint avoidanceFloor(const ChoiceRequest &request, TimePoint now) const;
+    bool isStrained(TimePoint now) const;
     bool isOwnFailure(Member &member, Duration latency) const;
     std::vector<Member *> candidates(const ChoiceRequest &request, TimePoint now, bool takesAvoided);
     void startPause(Member &member, TimePoint &until, TimePoint now);
@@ -790,6 +799,9 @@
     BalancerOptions m_options;
     std::vector<Member> m_members;
     double m_latency = 0; // moving average over all targets, ns; 0: unknown
+    double m_requests = 0; // lately, with fading weight; m_unserved of them weren't served
+    double m_unserved = 0;
+    TimePoint m_countedAt;
 };
 
 //-----------------------------------------------------------------------------
--- a/packages/policy/src/balancer.cpp
+++ b/packages/policy/src/balancer.cpp
@@ -10,13 +10,25 @@
 constexpr double serviceLatencyWeight = 0.05; // of the newest answer in the service's moving average
 constexpr double pauseGrowth = 1.5;           // of each pause over the one before
 constexpr std::uint32_t trialSlots = 1;       // requests that a target on trial may hold
-constexpr double jitter = 0.1;                // largest random part of a score, so that Vms with equal views choose differently
+constexpr double alike = 1.4;                 // times the best score: latencies of equal targets differ as much by chance
 
 double movingAverage(double average, double value, double weight)
 {
     return average <= 0 ? value : average + weight * (value - average);
 }
 
+// The time by which so many percent of the given ones are over, at least now.
+TimePoint earliestOf(std::vector<TimePoint> times, std::uint32_t percent, TimePoint now)
+{
+    if (times.empty()) {
+        return now;
+    }
+    const std::size_t kept = std::max<std::size_t>(1, (times.size() * percent + 99) / 100);
+    const auto last = times.begin() + static_cast<std::ptrdiff_t>(kept) - 1;
+    std::nth_element(times.begin(), last, times.end());
+    return std::max(*last, now);
+}
+
 } // namespace
 
 ServiceBalancer::ServiceBalancer(BalancerOptions options)
@@ -115,16 +127,46 @@
     return witnesses >= m_options.pathWitnesses ? std::max(until, missedUntil) : until;
 }
 
-// It failed lately, or a request has been open there for long: it gets work only when no other target has room. What may be
-// repeated is trusted to it sooner than what may run once only; the Vm that saw it fail tries it first.
-bool ServiceBalancer::isAvoided(const Member &member, const ChoiceRequest &request, TimePoint now) const
+// A target that failed lately gets work only when no other has room. What may be repeated is trusted to it sooner than what
+// may run once only; the Vm that saw it fail tries it first.
+TimePoint ServiceBalancer::avoidedUntil(const Member &member, const ChoiceRequest &request) const
 {
     const Duration proof = request.isRepeatable ? Duration(0) : m_options.proofTime;
-    const Duration sooner = m_options.proofTime - proof;
-    const bool isAvoidedElsewhere = std::any_of(
-        member.remotes.begin(), member.remotes.end(), [now, sooner](const auto &it) { return it.second.distrustUntil > now + sooner; });
-    const bool isAvoidedHere = member.failures > 0 && member.avoidUntil + proof > now;
-    return isAvoidedHere || isAvoidedElsewhere || isDoubtful(member, now);
+    TimePoint until = member.failures > 0 ? member.avoidUntil + proof : TimePoint();
+    for (const auto &[vm, remote] : member.remotes) {
+        until = std::max(until, remote.distrustUntil - m_options.proofTime + proof);
+    }
+    return until;
+}
+
+// Targets that are avoided until this time at most get work all the same.
+TimePoint ServiceBalancer::avoidanceFloor(const ChoiceRequest &request, TimePoint now) const
+{
+    if (!isStrained(now)) {
+        return now;
+    }
+    std::vector<TimePoint> avoided;
+    for (const Member &it : m_members) {
+        if (it.target.state == TargetState::Serving) {
+            avoided.push_back(std::max(avoidedUntil(it, request), pausedUntil(it, now)));
+        }
+    }
+    return earliestOf(std::move(avoided), m_options.strainedFloorPercent, now);
+}
+
+bool ServiceBalancer::isStrained(TimePoint now) const
+{
+    constexpr double fewRequests = 8; // of so few nothing follows
+    const double fading = std::exp2(-std::chrono::duration<double>(now - m_countedAt) / std::chrono::duration<double>(m_options.strainMemory));
+    return m_requests * fading >= fewRequests && m_unserved > m_requests * m_options.strainedShare;
+}
+
+void ServiceBalancer::noteRequest(bool isServed, TimePoint now)
+{
+    const double fading = std::exp2(-std::chrono::duration<double>(now - m_countedAt) / std::chrono::duration<double>(m_options.strainMemory));
+    m_requests = m_requests * fading + 1;
+    m_unserved = m_unserved * fading + (isServed ? 0 : 1);
+    m_countedAt = now;
 }
 
 // A request that has been open for much longer than usual: the target may be stuck, or only slow.
@@ -183,23 +225,19 @@
             pauses.push_back(pausedUntil(it, now));
         }
     }
-    if (pauses.empty()) {
-        return now;
-    }
-    const std::size_t kept = std::max<std::size_t>(1, (pauses.size() * m_options.floorPercent + 99) / 100);
-    const auto last = pauses.begin() + static_cast<std::ptrdiff_t>(kept) - 1;
-    std::nth_element(pauses.begin(), last, pauses.end());
-    return std::max(*last, now);
+    return earliestOf(std::move(pauses), m_options.floorPercent, now);
 }
 
 std::vector<ServiceBalancer::Member *> ServiceBalancer::candidates(const ChoiceRequest &request, TimePoint now, bool takesAvoided)
 {
     const TimePoint keptUntil = floorTime(now);
+    const TimePoint trustedUntil = avoidanceFloor(request, now);
     std::vector<Member *> found;
     std::vector<Member *> triedBefore;
     for (Member &it : m_members) {
         const bool mayWork = it.target.state == TargetState::Serving && pausedUntil(it, now) <= keptUntil;
-        if (!mayWork || !hasRoom(it, request, now) || (!takesAvoided && isAvoided(it, request, now))) {
+        const bool isAvoided = avoidedUntil(it, request) > trustedUntil || isDoubtful(it, now);
+        if (!mayWork || !hasRoom(it, request, now) || (!takesAvoided && isAvoided)) {
             continue;
         }
         const bool isTried = std::find(request.tried.begin(), request.tried.end(), it.target.name) != request.tried.end();
@@ -217,24 +255,28 @@
     if (found.empty()) {
         return std::nullopt;
     }
-    // All near ones and a few of the others take part.
+    // All near ones and a few of the others take part; those alike to the best get work by turns, so that none is left idle.
     const auto far
         = std::partition(found.begin(), found.end(), [&request](const Member *it) { return it->target.failureDomain == request.local; });
     const auto distant = static_cast<std::size_t>(found.end() - far);
     std::shuffle(far, found.end(), generator);
     found.resize(found.size() - distant + std::min<std::size_t>(distant, m_options.candidates));
-    Member *best = nullptr;
-    double bestScore = 0;
-    std::uniform_real_distribution<double> noise(1.0, 1.0 + jitter);
-    for (Member *it : found) {
-        const double itsScore = score(*it, request, now) * noise(generator);
-        if (best == nullptr || itsScore < bestScore) {
-            best = it;
-            bestScore = itsScore;
+    std::vector<double> scores;
+    scores.reserve(found.size());
+    for (const Member *it : found) {
+        scores.push_back(score(*it, request, now));
+    }
+    const double good = *std::min_element(scores.begin(), scores.end()) * alike;
+    std::vector<Member *> best;
+    for (std::size_t i = 0; i < found.size(); ++i) {
+        if (scores[i] <= good) {
+            best.push_back(found[i]);
         }
     }
-    best->open.push_back(now);
-    return best->target;
+    std::uniform_int_distribution<std::size_t> draw(0, best.size() - 1);
+    Member *chosen = best[draw(generator)];
+    chosen->open.push_back(now);
+    return chosen->target;
 }
 
 void ServiceBalancer::startPause(Member &member, TimePoint &until, TimePoint now)
--- a/packages/policy/tests/test_balancer.cpp
+++ b/packages/policy/tests/test_balancer.cpp
@@ -196,6 +196,57 @@
     BOOST_TEST(takes);
 }
 
+// Pattern: an account far over its rate is refused while a third of the targets fail by turns: the sound ones among them
+// must not stay without work (lbl-gateway-grown, trouble-3: 18 of 32 sound targets got nothing for 2 s).
+BOOST_AUTO_TEST_CASE(few_targets_are_avoided_while_many_requests_are_refused)
+{
+    ServiceBalancer balancer;
+    Generator generator{1};
+    const TimePoint failedAt{1h};
+    balancer.setTargets(makeTargets(20), failedAt);
+    for (int i = 0; i < 7; ++i) {
+        balancer.end({"t" + std::to_string(i)}, AttemptEnd::Failed, 1ms, failedAt, failedAt + 10ms * i);
+    }
+    const TimePoint now = failedAt + 3s; // the pauses are over
+    const auto targetsWithWork = [&] {
+        std::set<std::string> names;
+        for (int i = 0; i < 300; ++i) {
+            const std::optional<Target> target = balancer.choose({.local = {"fd-a"}, .isRepeatable = false}, now, generator);
+            names.insert(target->name.value);
+            balancer.end(target->name, AttemptEnd::Abandoned, 0ms, now, now);
+        }
+        return names;
+    };
+    BOOST_TEST(targetsWithWork().size() == 13U);
+    for (int i = 0; i < 100; ++i) {
+        balancer.noteRequest(i % 10 != 0, now);
+    }
+    const std::set<std::string> names = targetsWithWork();
+    BOOST_TEST(names.size() == 17U); // 85 in 100
+    BOOST_TEST(names.contains("t0")); // the one that failed first is tried first
+    BOOST_TEST(!names.contains("t6"));
+}
+
+// Pattern: a lightly loaded service of equal targets, whose latencies differ by chance: each gets work.
+BOOST_AUTO_TEST_CASE(idle_targets_of_like_latency_all_get_work)
+{
+    ServiceBalancer balancer;
+    Generator generator{1};
+    const TimePoint now{1h};
+    balancer.setTargets(makeTargets(8), now);
+    std::map<std::string, int> counts;
+    for (int i = 0; i < 8; ++i) {
+        balancer.end({"t" + std::to_string(i)}, AttemptEnd::Answered, 100ms + 4ms * i, now, now);
+    }
+    for (int i = 0; i < 160; ++i) {
+        const std::optional<Target> target = balancer.choose({.local = {"fd-a"}}, now, generator);
+        ++counts[target->name.value];
+        balancer.end(target->name, AttemptEnd::Abandoned, 0ms, now, now);
+    }
+    BOOST_TEST(counts.size() == 8U);
+    BOOST_TEST(counts["t7"] >= 2);
+}
+
 // Pattern: all targets fail at once; the floor keeps half of them in the choice.
 BOOST_AUTO_TEST_CASE(the_floor_holds_when_every_target_fails)
 {
--- a/packages/proxy/src/session.cpp
+++ b/packages/proxy/src/session.cpp
@@ -315,6 +315,9 @@
         isSent = refusal->reason != RefusalReason::CallerGone && co_await reply.sendRefusal(*refusal);
     }
     const Duration total = m_shared.parts.clock.now() - receivedAt;
+    if (!trace.service.value.empty()) {
+        m_shared.dispatcher.targets().noteOutcome(trace.service, !refusal && !trace.isFailurePassedOn);
+    }
     if (refusal) {
         logRefusal(*refusal, requestId, trace.account, path, total);
     }
@@ -386,6 +389,7 @@
         co_return resolved.error();
     }
     trace.account = resolved->caller.accountName;
+    trace.service = resolved->serviceName;
     if (containsSecret(request.message.body(), resolved->caller.secret)) {
         co_return Refusal{.reason = RefusalReason::KeyInContent};
     }
--- a/packages/proxy/src/target_table.cpp
+++ b/packages/proxy/src/target_table.cpp
@@ -186,6 +186,12 @@
     entry(service).budget.noteRequest(m_clock.now());
 }
 
+void TargetTable::noteOutcome(const ServiceName &service, bool isServed)
+{
+    const std::lock_guard lock(m_mutex);
+    entry(service).balancer.noteRequest(isServed, m_clock.now());
+}
+
 bool TargetTable::takeRepeat(const ServiceName &service)
 {
     const std::lock_guard lock(m_mutex);
--- a/packages/proxy/tests/proxy_fixture.cpp
+++ b/packages/proxy/tests/proxy_fixture.cpp
@@ -49,7 +49,7 @@
 
 ProxyOptions withoutPauses()
 {
-    return {.dispatch = {.balancer = {.firstPause = Duration::zero()}}};
+    return {.dispatch = {.balancer = {.firstPause = Duration::zero(), .proofTime = Duration::zero(), .witnessLead = Duration::zero()}}};
 }
 
 RawCaller::RawCaller(std::uint16_t port)
--- a/packages/proxy/tests/test_target_faults.cpp
+++ b/packages/proxy/tests/test_target_faults.cpp
@@ -297,8 +297,10 @@
 {
     UnansweredListener unanswered;
     ScriptedTarget healthy(wellBehaved());
+    ProxyOptions patient = withoutPauses();
+    patient.dispatch.connectTimeoutMs = 60000;
     ProxyFixture fixture({.targets = {unanswered.address(), healthy.address()},
-                          .proxy = {.dispatch = {.connectTimeoutMs = 60000, .balancer = {.firstPause = std::chrono::seconds(0)}}},
+                          .proxy = patient,
                           .routeFields = ", deadline_ms: 1000"});
     RawCaller caller(fixture.port());
     for (const std::string method : {"GET", "POST"}) {
--- a/soak/world.cpp
+++ b/soak/world.cpp
@@ -21,6 +21,7 @@
 constexpr auto quietTime = seconds(3);                           // measured then
 constexpr double leastServed = 0.95;                             // of what is sent in the quiet time
 constexpr auto stopTime = milliseconds(3500);                    // leaving, draining, and some room
+constexpr std::uint64_t probeSeed = 900000000;                   // above those of the callers, so that no id comes twice
 constexpr auto mostPause = milliseconds(700);                    // between two faults
 
 struct SoakVm
@@ -331,7 +332,7 @@
     for (const SoakVm &it : m_vms) {
         directories.push_back(it.addresses);
     }
-    Caller probe(m_ledger, {.directories = directories, .host = host, .account = "busy", .key = "key-busy", .seed = 999999}, m_isOver);
+    Caller probe(m_ledger, {.directories = directories, .host = host, .account = "busy", .key = "key-busy", .seed = probeSeed}, m_isOver);
     const auto giveUpAt = Ledger::Clock::now() + startTime;
     const std::string path = "/read/ready";
     while (co_await probe.askOnce(path) != 200) {
@@ -358,12 +359,13 @@
     }
     const std::string readPath = "/read/item";
     const std::string extraPath = "/extra/item";
+    std::uint64_t seed = probeSeed;
     for (const SoakVm &vm : m_vms) {
-        Caller withdrawn(m_ledger, {.directories = {vm.addresses}, .host = host, .account = "old", .key = "key-old", .seed = 999998}, m_isOver);
+        Caller withdrawn(m_ledger, {.directories = {vm.addresses}, .host = host, .account = "old", .key = "key-old", .seed = ++seed}, m_isOver);
         if (const unsigned status = co_await withdrawn.askOnce(readPath); status != 401) {
             fail("CONFIG: a withdrawn key got " + std::to_string(status));
         }
-        Caller lost(m_ledger, {.directories = {vm.addresses}, .host = host, .account = "busy", .key = "key-busy", .seed = 999997}, m_isOver);
+        Caller lost(m_ledger, {.directories = {vm.addresses}, .host = host, .account = "busy", .key = "key-busy", .seed = ++seed}, m_isOver);
         if (const unsigned status = co_await lost.askOnce(extraPath); status != 404) {
             fail("CONFIG: a dropped route got " + std::to_string(status));
         }
