--- a/packages/policy/include/pollenspoke/policy.h
+++ b/packages/policy/include/pollenspoke/policy.h
@@ -686,12 +686,14 @@
     Duration memory = std::chrono::seconds(5);               // half-life of a target's own latency towards that of its service
     Duration newsTerm = std::chrono::milliseconds(1500);     // other Vms' news count for so long
     double staleFactor = 4;                                  // a request open for so many usual latencies marks its target doubtful
-    double distanceFactor = 1.6;                             // a target in another failure domain counts as so much slower
+    double distanceFactor = 2.5;                             // a target in another failure domain counts as so much slower
     double coldFactor = 2;                                   // a target that warms up counts as so much slower
     std::uint32_t candidates = 3;                            // of other failure domains, drawn at random for each choice
     std::uint32_t floorPercent = 50;                         // of the serving targets stay in the choice whatever their failures
     std::uint32_t strainedFloorPercent = 85;                 // the same of those that are avoided, while the service serves too few
-    double strainedShare = 0.05;                             // of requests not served, from which on it does
+    double strainedShare = 0.07;                             // of requests not served, from which on it does; the platform's bound is 0.1
+    double staleProofFactor = 1.5;                           // what may run once only: a target without an answer lately counts as so much slower
+    Duration proofAge = std::chrono::seconds(2);             // of the newest answer, after which it counts so
     Duration strainMemory = std::chrono::milliseconds(1500); // half-life of what is known of requests served
     std::uint32_t pathWitnesses = 2;                         // other Vms that must miss a target before it is paused here
     auto operator<=>(const BalancerOptions &) const = default;
@@ -742,7 +744,9 @@
 
     /// Takes a place at the target chosen. Nothing: none has a free slot.
     std::optional<Target> choose(const ChoiceRequest &request, TimePoint now, Generator &generator);
-    std::optional<TargetPause> end(const TargetName &target, AttemptEnd end, Duration latency, TimePoint startedAt, TimePoint now);
+    /// `route`: latencies of one route are compared with each other only, since routes differ in their work.
+    std::optional<TargetPause>
+    end(const TargetName &target, AttemptEnd end, Duration latency, TimePoint startedAt, TimePoint now, const RouteName &route = {});
 
     /// How a request for the service ended, refused ones included. While too many aren't served, targets that failed lately get
     /// work again, but for a few, so that those left don't carry it all.
@@ -776,12 +780,14 @@
         std::uint32_t failures = 0;       // in a row
         std::uint32_t workedFailures = 0; // in a row, that were worked on
         bool isOnTrial = false;     // one request at a time until one is answered
-        double latency = 0;         // moving average of whole answers, ns; 0: unknown
+        double slowness = 0;        // moving average over whole answers: latency over that of the route; 0: unknown
         TimePoint answeredAt;       // of the newest of them
     };
 
     Member *find(const TargetName &name);
     std::uint32_t inFlight(const Member &member, TimePoint now) const;
+    static TimePoint failurePausedUntil(const Member &member);
+    TimePoint pathPausedUntil(const Member &member, TimePoint now) const;
     TimePoint pausedUntil(const Member &member, TimePoint now) const;
     bool isDoubtful(const Member &member, TimePoint now) const;
     bool hasRoom(const Member &member, const ChoiceRequest &request, TimePoint now) const;
@@ -792,13 +798,16 @@
     TimePoint avoidanceFloor(const ChoiceRequest &request, TimePoint now) const;
     bool isStrained(TimePoint now) const;
     bool isOwnFailure(Member &member, Duration latency) const;
+    void noteLatency(Member &member, Duration latency, const RouteName &route);
     std::vector<Member *> candidates(const ChoiceRequest &request, TimePoint now, bool takesAvoided);
+    Member &pick(const std::vector<Member *> &found, const ChoiceRequest &request, TimePoint now, Generator &generator) const;
     void startPause(Member &member, TimePoint &until, TimePoint now);
     Duration longestDistrust() const;
 
     BalancerOptions m_options;
     std::vector<Member> m_members;
     double m_latency = 0; // moving average over all targets, ns; 0: unknown
+    std::map<RouteName, double> m_routeLatencies; // the same of each route
     double m_requests = 0; // lately, with fading weight; m_unserved of them weren't served
     double m_unserved = 0;
     TimePoint m_countedAt;
@@ -880,7 +889,7 @@
     double rateFactor = 1.05;                          // of the account's rate and burst; the platform tolerates 1.1
     double extraBurst = 8;                             // tokens over all homes beyond the burst; the platform tolerates 20
     double leastBurst = 1.5;                           // of one home: an account of small burst has fewer homes
-    double firstTokens = 0.5;                          // in the bucket of a new process, so that restarts make no burst
+    double firstTokens = 0.5;                          // for each home, when all processes start: whole ones, at as many of the homes
     Duration askPause = std::chrono::milliseconds(60); // after no seat holder had a token
     auto operator<=>(const QuotaPoolOptions &) const = default;
 };
@@ -911,9 +920,11 @@
         Limits limits;              // of the account, from which the bucket's follow
         std::uint64_t seatsVersion; // at which the bucket's limits were set
         TimePoint askAgainAt;
+        bool hasFirstTokens = false; // given once, as soon as the homes are known
     };
 
     Limits share(const AccountName &name, const Limits &limits) const;
+    double firstTokens(const AccountName &name, const Limits &limits) const;
     Account &account(const AccountName &name, const Limits &limits, TimePoint now);
 
     QuotaPoolOptions m_options;
--- a/packages/policy/src/balancer.cpp
+++ b/packages/policy/src/balancer.cpp
@@ -8,9 +8,11 @@
 
 constexpr double latencyWeight = 0.2;         // of the newest answer in a target's moving average
 constexpr double serviceLatencyWeight = 0.05; // of the newest answer in the service's moving average
+constexpr std::size_t mostRoutes = 10000;     // of which latencies are kept; routes come and go with configurations
 constexpr double pauseGrowth = 1.5;           // of each pause over the one before
 constexpr std::uint32_t trialSlots = 1;       // requests that a target on trial may hold
-constexpr double alike = 1.4;                 // times the best score: latencies of equal targets differ as much by chance
+constexpr double jitter = 0.1;                // largest random part of a score, so that Vms with equal views choose differently
+constexpr double alike = 2;                   // the same where all that are alike are to get work: more than latencies differ by chance
 
 double movingAverage(double average, double value, double weight)
 {
@@ -109,16 +111,22 @@
     return n;
 }
 
-// When the target may get work again; a time in the past when it may now.
-TimePoint ServiceBalancer::pausedUntil(const Member &member, TimePoint now) const
+TimePoint ServiceBalancer::failurePausedUntil(const Member &member)
+{
+    TimePoint until = member.failureUntil;
+    for (const auto &[vm, remote] : member.remotes) {
+        until = std::max(until, remote.failureUntil);
+    }
+    return until;
+}
+
+// One Vm's word that it misses a target may be the fault of its path.
+TimePoint ServiceBalancer::pathPausedUntil(const Member &member, TimePoint now) const
 {
-    TimePoint until = std::max({member.failureUntil, member.unreachableUntil, member.declinedUntil});
+    const TimePoint until = std::max(member.unreachableUntil, member.declinedUntil);
     std::uint32_t witnesses = 0;
     TimePoint missedUntil;
     for (const auto &[vm, remote] : member.remotes) {
-        if (remote.failureUntil > now) {
-            until = std::max(until, remote.failureUntil);
-        }
         if (remote.unreachableUntil > now) {
             ++witnesses;
             missedUntil = std::max(missedUntil, remote.unreachableUntil);
@@ -127,6 +135,12 @@
     return witnesses >= m_options.pathWitnesses ? std::max(until, missedUntil) : until;
 }
 
+// When the target may get work again; a time in the past when it may now.
+TimePoint ServiceBalancer::pausedUntil(const Member &member, TimePoint now) const
+{
+    return std::max(failurePausedUntil(member), pathPausedUntil(member, now));
+}
+
 // A target that failed lately gets work only when no other has room. What may be repeated is trusted to it sooner than what
 // may run once only; the Vm that saw it fail tries it first.
 TimePoint ServiceBalancer::avoidedUntil(const Member &member, const ChoiceRequest &request) const
@@ -148,7 +162,7 @@
     std::vector<TimePoint> avoided;
     for (const Member &it : m_members) {
         if (it.target.state == TargetState::Serving) {
-            avoided.push_back(std::max(avoidedUntil(it, request), pausedUntil(it, now)));
+            avoided.push_back(std::max(avoidedUntil(it, request), failurePausedUntil(it)));
         }
     }
     return earliestOf(std::move(avoided), m_options.strainedFloorPercent, now);
@@ -189,15 +203,15 @@
 double ServiceBalancer::expectedLatency(const Member &member, TimePoint now) const
 {
     const auto usual = static_cast<double>(usualLatency().count());
-    if (member.latency > 0) {
+    if (member.slowness > 0) {
         const double halfLives = std::chrono::duration<double>(now - member.answeredAt) / std::chrono::duration<double>(m_options.memory);
-        return usual + (member.latency - usual) * std::exp2(-halfLives);
+        return usual * (1 + (member.slowness - 1) * std::exp2(-halfLives));
     }
-    double fastest = usual;
+    double fastest = 1;
     for (const Member &it : m_members) {
-        fastest = it.latency > 0 ? std::min(fastest, it.latency) : fastest;
+        fastest = it.slowness > 0 ? std::min(fastest, it.slowness) : fastest;
     }
-    return fastest;
+    return usual * fastest;
 }
 
 // Expected time to an answer, ns.
@@ -213,6 +227,10 @@
     if (member.target.failureDomain != request.local) {
         latency *= m_options.distanceFactor;
     }
+    const bool isStale = member.slowness > 0 && now - member.answeredAt > m_options.proofAge; // a new target is to be tried
+    if (!request.isRepeatable && isStale) {
+        latency *= m_options.staleProofFactor;
+    }
     return latency * (1.0 + inFlight(member, now) / static_cast<double>(member.target.slots));
 }
 
@@ -235,7 +253,8 @@
     std::vector<Member *> found;
     std::vector<Member *> triedBefore;
     for (Member &it : m_members) {
-        const bool mayWork = it.target.state == TargetState::Serving && pausedUntil(it, now) <= keptUntil;
+        const bool isPaused = pathPausedUntil(it, now) > keptUntil || failurePausedUntil(it) > std::max(keptUntil, trustedUntil);
+        const bool mayWork = it.target.state == TargetState::Serving && !isPaused;
         const bool isAvoided = avoidedUntil(it, request) > trustedUntil || isDoubtful(it, now);
         if (!mayWork || !hasRoom(it, request, now) || (!takesAvoided && isAvoided)) {
             continue;
@@ -255,28 +274,33 @@
     if (found.empty()) {
         return std::nullopt;
     }
-    // All near ones and a few of the others take part; those alike to the best get work by turns, so that none is left idle.
+    // All near ones and a few of the others take part.
     const auto far
         = std::partition(found.begin(), found.end(), [&request](const Member *it) { return it->target.failureDomain == request.local; });
     const auto distant = static_cast<std::size_t>(found.end() - far);
     std::shuffle(far, found.end(), generator);
     found.resize(found.size() - distant + std::min<std::size_t>(distant, m_options.candidates));
-    std::vector<double> scores;
-    scores.reserve(found.size());
-    for (const Member *it : found) {
-        scores.push_back(score(*it, request, now));
-    }
-    const double good = *std::min_element(scores.begin(), scores.end()) * alike;
-    std::vector<Member *> best;
-    for (std::size_t i = 0; i < found.size(); ++i) {
-        if (scores[i] <= good) {
-            best.push_back(found[i]);
+    Member &chosen = pick(found, request, now, generator);
+    chosen.open.push_back(now);
+    return chosen.target;
+}
+
+// Work stays with the best targets: those that answered lately are known to work. While the service serves too few, it goes
+// to all that are alike, by chance.
+ServiceBalancer::Member &
+ServiceBalancer::pick(const std::vector<Member *> &found, const ChoiceRequest &request, TimePoint now, Generator &generator) const
+{
+    std::uniform_real_distribution<double> noise(1.0, isStrained(now) ? alike : 1.0 + jitter);
+    Member *best = found.front();
+    double bestScore = 0;
+    for (Member *it : found) {
+        const double itsScore = score(*it, request, now) * noise(generator);
+        if (it == found.front() || itsScore < bestScore) {
+            best = it;
+            bestScore = itsScore;
         }
     }
-    std::uniform_int_distribution<std::size_t> draw(0, best.size() - 1);
-    Member *chosen = best[draw(generator)];
-    chosen->open.push_back(now);
-    return chosen->target;
+    return *best;
 }
 
 void ServiceBalancer::startPause(Member &member, TimePoint &until, TimePoint now)
@@ -307,8 +331,20 @@
     return avoidance + m_options.proofTime + m_options.witnessLead;
 }
 
-std::optional<TargetPause>
-ServiceBalancer::end(const TargetName &target, AttemptEnd end, Duration latency, TimePoint startedAt, TimePoint now)
+void ServiceBalancer::noteLatency(Member &member, Duration latency, const RouteName &route)
+{
+    const auto ns = static_cast<double>(latency.count());
+    if (m_routeLatencies.size() >= mostRoutes && !m_routeLatencies.contains(route)) {
+        m_routeLatencies.clear();
+    }
+    double &usual = m_routeLatencies[route];
+    usual = movingAverage(usual, ns, serviceLatencyWeight);
+    member.slowness = movingAverage(member.slowness, usual > 0 ? ns / usual : 1, latencyWeight);
+    m_latency = movingAverage(m_latency, ns, serviceLatencyWeight);
+}
+
+std::optional<TargetPause> ServiceBalancer::end(
+    const TargetName &target, AttemptEnd end, Duration latency, TimePoint startedAt, TimePoint now, const RouteName &route)
 {
     Member *member = find(target);
     if (member == nullptr) {
@@ -325,8 +361,7 @@
         member->isOnTrial = false;
         member->avoidUntil = {};
         member->answeredAt = now;
-        member->latency = movingAverage(member->latency, static_cast<double>(latency.count()), latencyWeight);
-        m_latency = movingAverage(m_latency, static_cast<double>(latency.count()), serviceLatencyWeight);
+        noteLatency(*member, latency, route);
         return std::nullopt;
     case AttemptEnd::Abandoned:
         return std::nullopt;
--- a/packages/proxy/src/dispatcher.cpp
+++ b/packages/proxy/src/dispatcher.cpp
@@ -262,6 +262,7 @@
         co_return std::nullopt;
     }
     const AcquireRequest wanted{.service = resolved.serviceName,
+                                .route = resolved.routeName,
                                 .tried = progress.tried,
                                 .rank = resolved.rank(),
                                 .limit = connectionLimit(*resolved.service),
--- a/packages/proxy/src/target_table.cpp
+++ b/packages/proxy/src/target_table.cpp
@@ -49,9 +49,10 @@
 
 } // namespace
 
-TargetPlace::TargetPlace(TargetTable &table, TargetId id, TimePoint startedAt)
+TargetPlace::TargetPlace(TargetTable &table, TargetId id, RouteName route, TimePoint startedAt)
     : m_table(&table)
     , m_id(std::move(id))
+    , m_route(std::move(route))
     , m_startedAt(startedAt)
 {
 }
@@ -59,6 +60,7 @@
 TargetPlace::TargetPlace(TargetPlace &&other) noexcept
     : m_table(std::exchange(other.m_table, nullptr))
     , m_id(std::move(other.m_id))
+    , m_route(std::move(other.m_route))
     , m_startedAt(other.m_startedAt)
 {
 }
@@ -67,6 +69,7 @@
 {
     std::swap(m_table, other.m_table);
     std::swap(m_id, other.m_id);
+    std::swap(m_route, other.m_route);
     std::swap(m_startedAt, other.m_startedAt);
     return *this;
 }
@@ -240,7 +243,7 @@
                                .isRepeatable = request.isRepeatable};
     std::optional<Target> target = entry.balancer.choose(choice, now, threadGenerator());
     if (target) {
-        place = TargetPlace(*this, TargetId{request.service, target->name, target->address}, now);
+        place = TargetPlace(*this, TargetId{request.service, target->name, target->address}, request.route, now);
     }
     return target;
 }
@@ -303,7 +306,7 @@
         place.m_table = nullptr;
         const TimePoint now = m_clock.now();
         Entry &it = entry(place.m_id.service);
-        pause = it.balancer.end(place.m_id.target, end, latency, place.m_startedAt, now);
+        pause = it.balancer.end(place.m_id.target, end, latency, place.m_startedAt, now, place.m_route);
         visitOthers(it.balancer.openAt(place.m_id.target));
         wakeFirst(it, now);
     }
--- a/packages/proxy/src/target_table.h
+++ b/packages/proxy/src/target_table.h
@@ -29,7 +29,7 @@
 {
 public:
     TargetPlace() = default;
-    TargetPlace(TargetTable &table, TargetId id, TimePoint startedAt);
+    TargetPlace(TargetTable &table, TargetId id, RouteName route, TimePoint startedAt);
     TargetPlace(TargetPlace &&other) noexcept;
     TargetPlace &operator=(TargetPlace &&other) noexcept;
     ~TargetPlace();
@@ -41,6 +41,7 @@
 
     TargetTable *m_table = nullptr;
     TargetId m_id;
+    RouteName m_route;
     TimePoint m_startedAt;
 };
 
@@ -52,6 +53,7 @@
 struct AcquireRequest
 {
     ServiceName service;
+    RouteName route;
     std::vector<TargetName> tried;
     std::uint32_t rank = 0;  // who waits is served in this order, 0 first
     std::uint32_t limit = 1; // connections of this Vm to one target
