--- a/packages/fleet/src/feed.cpp
+++ b/packages/fleet/src/feed.cpp
@@ -9,11 +9,11 @@
 namespace net = boost::asio;
 
 constexpr auto asTuple = net::as_tuple(net::use_awaitable);
-constexpr auto askStep = std::chrono::milliseconds(300);  // between questions: with a holder's own pause a change takes 0.6 s at most
-constexpr auto replyTime = std::chrono::milliseconds(40); // a round trip within the region is about 2 ms
-constexpr std::uint64_t farEvery = 3;                     // each third question goes to a holder of any failure domain
+constexpr auto askStep = std::chrono::milliseconds(300);     // between questions: with a holder's own pause a change takes 0.6 s at most
+constexpr auto replyTime = std::chrono::milliseconds(40);    // a round trip within the region is about 2 ms
+constexpr std::uint64_t farEvery = 3;                        // each third question goes to a holder of any failure domain
 constexpr auto settleTime = std::chrono::milliseconds(2500); // of a new process: by then it has heard who watches the store
-constexpr auto directWait = std::chrono::seconds(2);      // of a watch of the store in place of a holder
+constexpr auto directWait = std::chrono::seconds(2);         // of a watch of the store in place of a holder
 
 } // namespace
 
--- a/packages/policy/include/pollenspoke/policy.h
+++ b/packages/policy/include/pollenspoke/policy.h
@@ -692,8 +692,8 @@
     std::uint32_t floorPercent = 50;                         // of the serving targets stay in the choice whatever their failures
     std::uint32_t strainedFloorPercent = 85;                 // the same of those that are avoided, while the service serves too few
     double strainedShare = 0.07;                             // of requests not served, from which on it does; the platform's bound is 0.1
-    double staleProofFactor = 1.5;                           // what may run once only: a target without an answer lately counts as so much slower
-    Duration proofAge = std::chrono::seconds(2);             // of the newest answer, after which it counts so
+    double staleProofFactor = 1.5;               // what may run once only: a target without an answer lately counts as so much slower
+    Duration proofAge = std::chrono::seconds(2); // of the newest answer, after which it counts so
     Duration strainMemory = std::chrono::milliseconds(1500); // half-life of what is known of requests served
     std::uint32_t pathWitnesses = 2;                         // other Vms that must miss a target before it is paused here
     auto operator<=>(const BalancerOptions &) const = default;
@@ -779,9 +779,9 @@
         TimePoint declinedUntil;
         std::uint32_t failures = 0;       // in a row
         std::uint32_t workedFailures = 0; // in a row, that were worked on
-        bool isOnTrial = false;     // one request at a time until one is answered
-        double slowness = 0;        // moving average over whole answers: latency over that of the route; 0: unknown
-        TimePoint answeredAt;       // of the newest of them
+        bool isOnTrial = false;           // one request at a time until one is answered
+        double slowness = 0;              // moving average over whole answers: latency over that of the route; 0: unknown
+        TimePoint answeredAt;             // of the newest of them
     };
 
     Member *find(const TargetName &name);
@@ -806,9 +806,9 @@
 
     BalancerOptions m_options;
     std::vector<Member> m_members;
-    double m_latency = 0; // moving average over all targets, ns; 0: unknown
+    double m_latency = 0;                         // moving average over all targets, ns; 0: unknown
     std::map<RouteName, double> m_routeLatencies; // the same of each route
-    double m_requests = 0; // lately, with fading weight; m_unserved of them weren't served
+    double m_requests = 0;                        // lately, with fading weight; m_unserved of them weren't served
     double m_unserved = 0;
     TimePoint m_countedAt;
 };
@@ -868,8 +868,8 @@
 {
     VmName name;
     FailureDomain failureDomain;
-    std::uint64_t registeredAt = 0;    // store revision of the registration
-    std::uint32_t millicores = 0;      // of processor, that the Vm may use
+    std::uint64_t registeredAt = 0; // store revision of the registration
+    std::uint32_t millicores = 0;   // of processor, that the Vm may use
     auto operator<=>(const RegisteredVm &) const = default;
 };
 
--- a/packages/policy/src/balancer.cpp
+++ b/packages/policy/src/balancer.cpp
@@ -73,11 +73,12 @@
                 member->isOnTrial = true;
                 member->failures = std::max(member->failures, it.failures);
             }
-            member->remotes[vm] = Remote{.inFlight = it.inFlight,
-                                         .failureUntil = now + std::min(it.failurePause, m_options.longestPause),
-                                         .distrustUntil = it.avoidance > Duration(0) ? now + std::min(it.avoidance, longestDistrust()) : TimePoint(),
-                                         .unreachableUntil = now + std::min(it.unreachablePause, m_options.longestPause),
-                                         .expiresAt = now + m_options.newsTerm};
+            member->remotes[vm]
+                = Remote{.inFlight = it.inFlight,
+                         .failureUntil = now + std::min(it.failurePause, m_options.longestPause),
+                         .distrustUntil = it.avoidance > Duration(0) ? now + std::min(it.avoidance, longestDistrust()) : TimePoint(),
+                         .unreachableUntil = now + std::min(it.unreachablePause, m_options.longestPause),
+                         .expiresAt = now + m_options.newsTerm};
         }
     }
 }
@@ -171,13 +172,15 @@
 bool ServiceBalancer::isStrained(TimePoint now) const
 {
     constexpr double fewRequests = 8; // of so few nothing follows
-    const double fading = std::exp2(-std::chrono::duration<double>(now - m_countedAt) / std::chrono::duration<double>(m_options.strainMemory));
+    const double fading
+        = std::exp2(-std::chrono::duration<double>(now - m_countedAt) / std::chrono::duration<double>(m_options.strainMemory));
     return m_requests * fading >= fewRequests && m_unserved > m_requests * m_options.strainedShare;
 }
 
 void ServiceBalancer::noteRequest(bool isServed, TimePoint now)
 {
-    const double fading = std::exp2(-std::chrono::duration<double>(now - m_countedAt) / std::chrono::duration<double>(m_options.strainMemory));
+    const double fading
+        = std::exp2(-std::chrono::duration<double>(now - m_countedAt) / std::chrono::duration<double>(m_options.strainMemory));
     m_requests = m_requests * fading + 1;
     m_unserved = m_unserved * fading + (isServed ? 0 : 1);
     m_countedAt = now;
@@ -343,8 +346,8 @@
     m_latency = movingAverage(m_latency, ns, serviceLatencyWeight);
 }
 
-std::optional<TargetPause> ServiceBalancer::end(
-    const TargetName &target, AttemptEnd end, Duration latency, TimePoint startedAt, TimePoint now, const RouteName &route)
+std::optional<TargetPause>
+ServiceBalancer::end(const TargetName &target, AttemptEnd end, Duration latency, TimePoint startedAt, TimePoint now, const RouteName &route)
 {
     Member *member = find(target);
     if (member == nullptr) {
--- a/packages/policy/src/quota_pool.cpp
+++ b/packages/policy/src/quota_pool.cpp
@@ -50,7 +50,8 @@
 
 QuotaPool::Account &QuotaPool::account(const AccountName &name, const Limits &limits, TimePoint now)
 {
-    Account &it = m_accounts.try_emplace(name, Account{.bucket = TokenBucket({}, now), .limits = limits, .seatsVersion = m_seatsVersion}).first->second;
+    Account &it = m_accounts.try_emplace(name, Account{.bucket = TokenBucket({}, now), .limits = limits, .seatsVersion = m_seatsVersion})
+                      .first->second;
     if (!it.hasFirstTokens && !m_holders.empty()) {
         it = Account{.bucket = TokenBucket(share(name, limits), firstTokens(name, limits), now),
                      .limits = limits,
--- a/packages/policy/tests/test_balancer.cpp
+++ b/packages/policy/tests/test_balancer.cpp
@@ -222,7 +222,7 @@
         balancer.noteRequest(i % 10 != 0, now);
     }
     const std::set<std::string> names = targetsWithWork();
-    BOOST_TEST(names.size() == 17U); // 85 in 100
+    BOOST_TEST(names.size() == 17U);  // 85 in 100
     BOOST_TEST(names.contains("t0")); // the one that failed first is tried first
     BOOST_TEST(!names.contains("t6"));
 }
--- a/packages/proxy/src/dispatcher.h
+++ b/packages/proxy/src/dispatcher.h
@@ -21,10 +21,10 @@
 /// Facts that outlive a cancelled dispatch.
 struct DispatchTrace
 {
-    bool mayHaveRun = false;  // some target may have acted on the request
-    Duration timeAtTargets{}; // connecting, sending, waiting and receiving
-    AccountName account;      // that the request runs for, once it is known
-    ServiceName service;      // that it is for, once it is known
+    bool mayHaveRun = false;        // some target may have acted on the request
+    Duration timeAtTargets{};       // connecting, sending, waiting and receiving
+    AccountName account;            // that the request runs for, once it is known
+    ServiceName service;            // that it is for, once it is known
     bool isFailurePassedOn = false; // the answer is a target's failure
 };
 
--- a/packages/proxy/src/target_table.h
+++ b/packages/proxy/src/target_table.h
@@ -55,11 +55,11 @@
     ServiceName service;
     RouteName route;
     std::vector<TargetName> tried;
-    std::uint32_t rank = 0;  // who waits is served in this order, 0 first
-    std::uint32_t limit = 1; // connections of this Vm to one target
+    std::uint32_t rank = 0;   // who waits is served in this order, 0 first
+    std::uint32_t limit = 1;  // connections of this Vm to one target
     bool isRepeatable = true; // it may be sent again after a failure
     Duration objective{};     // of the request
-    TimePoint deadline;      // of the request
+    TimePoint deadline;       // of the request
 };
 
 class TargetTable
@@ -75,9 +75,9 @@
     /// Chooses a target and takes a place there; waits for one while that helps the request.
     net::awaitable<tl::expected<Target, AcquireFailure>> acquire(const AcquireRequest &request, TargetPlace &place);
 
-    void noteRequest(const ServiceName &service); // a first request, for the retry budget
+    void noteRequest(const ServiceName &service);                // a first request, for the retry budget
     void noteOutcome(const ServiceName &service, bool isServed); // of a request, refused ones included
-    bool takeRepeat(const ServiceName &service);  // false: the retry budget is spent
+    bool takeRepeat(const ServiceName &service);                 // false: the retry budget is spent
     Duration usualLatency(const ServiceName &service) const;
     Duration drainTime(const ServiceName &service) const; // until those who wait now are expected to be served
 
--- a/packages/proxy/tests/test_target_faults.cpp
+++ b/packages/proxy/tests/test_target_faults.cpp
@@ -299,9 +299,7 @@
     ScriptedTarget healthy(wellBehaved());
     ProxyOptions patient = withoutPauses();
     patient.dispatch.connectTimeoutMs = 60000;
-    ProxyFixture fixture({.targets = {unanswered.address(), healthy.address()},
-                          .proxy = patient,
-                          .routeFields = ", deadline_ms: 1000"});
+    ProxyFixture fixture({.targets = {unanswered.address(), healthy.address()}, .proxy = patient, .routeFields = ", deadline_ms: 1000"});
     RawCaller caller(fixture.port());
     for (const std::string method : {"GET", "POST"}) {
         const std::uint64_t before = fixture.metrics().retries(RetryReason::ConnectFailed);
--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -5,7 +5,7 @@
 cd "$(dirname "$0")/.."
 files=("$@")
 if [ ${#files[@]} -eq 0 ]; then
-    mapfile -t files < <(git ls-files 'packages/*.cpp' 'packages/*.h' 'apps/*.cpp' 'apps/*.h' 'platform/*.cpp' 'platform/*.h' 'examples/*.cpp' 'benchmarks/*.cpp' 'benchmarks/*.h' | grep -v '/generated/')
+    mapfile -t files < <(git ls-files 'packages/*.cpp' 'packages/*.h' 'apps/*.cpp' 'apps/*.h' 'platform/*.cpp' 'platform/*.h' 'examples/*.cpp' 'soak/*.cpp' 'soak/*.h' 'benchmarks/*.cpp' 'benchmarks/*.h' | grep -v '/generated/')
 fi
 clang-format --dry-run --Werror "${files[@]}"
 echo "clang-format: ${#files[@]} files clean"
--- a/soak/callers.cpp
+++ b/soak/callers.cpp
@@ -14,9 +14,9 @@
 using std::chrono::milliseconds;
 
 constexpr auto asTuple = net::as_tuple(net::use_awaitable);
-constexpr auto connectTime = std::chrono::seconds(1);  // as the platform's callers allow
-constexpr auto addressTerm = std::chrono::seconds(2);  // an answer is kept for so long
-constexpr auto longestWait = milliseconds(3500);       // for an answer: the deadline that is sent, and a little more
+constexpr auto connectTime = std::chrono::seconds(1); // as the platform's callers allow
+constexpr auto addressTerm = std::chrono::seconds(2); // an answer is kept for so long
+constexpr auto longestWait = milliseconds(3500);      // for an answer: the deadline that is sent, and a little more
 constexpr const char *deadlineMs = "3000";
 
 Ledger::Clock::time_point now()
--- a/soak/fault_link.cpp
+++ b/soak/fault_link.cpp
@@ -8,7 +8,7 @@
 using SystemError = boost::system::error_code;
 
 constexpr auto asTuple = net::as_tuple(net::use_awaitable);
-constexpr auto delay = std::chrono::milliseconds(60);   // well above a round trip, below every timeout
+constexpr auto delay = std::chrono::milliseconds(60);     // well above a round trip, below every timeout
 constexpr auto lookAgain = std::chrono::milliseconds(20); // while a fault holds bytes up
 constexpr std::size_t pieceBytes = 16384;
 
--- a/soak/ledger.h
+++ b/soak/ledger.h
@@ -60,7 +60,7 @@
     /// Violations found by now; `bounds`: of the accounts that have limits.
     std::vector<std::string> violations(const std::map<std::string, AccountBound> &bounds) const;
     std::string summary() const;
-    double servedShareSince(Clock::time_point since) const;      // of repeatable requests sent since then and answered by now
+    double servedShareSince(Clock::time_point since) const; // of repeatable requests sent since then and answered by now
     std::vector<std::string> unansweredRunsSince(Clock::time_point since) const; // ids of requests that ran and got no whole answer
 
 private:
--- a/soak/world.cpp
+++ b/soak/world.cpp
@@ -55,8 +55,8 @@
 
 std::string tenant(const std::string &name, const std::string &keys, const AccountBound &bound)
 {
-    return R"({"name":")" + name + R"(","api-keys":[)" + keys + R"(],"rate-per-s":)" + std::to_string(bound.ratePerSecond)
-        + R"(,"burst":)" + std::to_string(bound.burst) + "}";
+    return R"({"name":")" + name + R"(","api-keys":[)" + keys + R"(],"rate-per-s":)" + std::to_string(bound.ratePerSecond) + R"(,"burst":)"
+        + std::to_string(bound.burst) + "}";
 }
 
 std::string Configuration::text() const
@@ -102,7 +102,10 @@
     void note(const std::string &fault);
     void fail(const std::string &violation) { m_outcome.violations.push_back(violation); }
     std::size_t draw(std::size_t n) { return std::uniform_int_distribution<std::size_t>(0, n - 1)(m_generator); }
-    milliseconds drawMs(int least, int most) { return milliseconds(least + static_cast<int>(draw(static_cast<std::size_t>(most - least)))); }
+    milliseconds drawMs(int least, int most)
+    {
+        return milliseconds(least + static_cast<int>(draw(static_cast<std::size_t>(most - least))));
+    }
     static net::awaitable<void> pause(milliseconds length);
     void spawn(net::awaitable<void> work);
 
@@ -160,7 +163,8 @@
         vm.store = std::make_unique<FaultLink>(m_context, m_store.address());
         vm.callers = refusedAddress();
         vm.addresses = refusedAddress();
-        vm.logFile = folder.empty() ? m_folder.path(vm.name + ".log") : folder + "/seed-" + std::to_string(m_options.seed) + "-" + vm.name + ".log";
+        vm.logFile = folder.empty() ? m_folder.path(vm.name + ".log")
+                                    : folder + "/seed-" + std::to_string(m_options.seed) + "-" + vm.name + ".log";
         std::ostringstream out;
         out << "vm: {name: " << vm.name << ", failure_domain: fd-" << (i % 2 == 0 ? "a" : "b") << "}\n"
             << "listen:\n  callers: \"" << toString(vm.callers) << "\"\n  readiness: \"" << toString(refusedAddress())
@@ -186,8 +190,12 @@
         const bool isNew = i % 4 == 2;
         CallerOptions options{.directories = directories,
                               .host = host,
-                              .account = isHot ? "hot" : isNew ? "old" : "busy",
-                              .key = isHot ? "key-hot" : isNew ? "key-new" : "key-busy",
+                              .account = isHot ? "hot"
+                                  : isNew      ? "old"
+                                               : "busy",
+                              .key = isHot ? "key-hot"
+                                  : isNew  ? "key-new"
+                                           : "key-busy",
                               .pause = isHot ? milliseconds(15) : milliseconds(40),
                               .seed = m_options.seed * 1000 + i};
         m_callers.push_back(std::make_unique<Caller>(m_ledger, std::move(options), m_isOver));
@@ -361,11 +369,13 @@
     const std::string extraPath = "/extra/item";
     std::uint64_t seed = probeSeed;
     for (const SoakVm &vm : m_vms) {
-        Caller withdrawn(m_ledger, {.directories = {vm.addresses}, .host = host, .account = "old", .key = "key-old", .seed = ++seed}, m_isOver);
+        Caller withdrawn(
+            m_ledger, {.directories = {vm.addresses}, .host = host, .account = "old", .key = "key-old", .seed = ++seed}, m_isOver);
         if (const unsigned status = co_await withdrawn.askOnce(readPath); status != 401) {
             fail("CONFIG: a withdrawn key got " + std::to_string(status));
         }
-        Caller lost(m_ledger, {.directories = {vm.addresses}, .host = host, .account = "busy", .key = "key-busy", .seed = ++seed}, m_isOver);
+        Caller lost(
+            m_ledger, {.directories = {vm.addresses}, .host = host, .account = "busy", .key = "key-busy", .seed = ++seed}, m_isOver);
         if (const unsigned status = co_await lost.askOnce(extraPath); status != 404) {
             fail("CONFIG: a dropped route got " + std::to_string(status));
         }
