--- a/packages/policy/include/pollenspoke/policy.h
+++ b/packages/policy/include/pollenspoke/policy.h
@@ -690,11 +690,11 @@
     double coldFactor = 2;                                   // a target that warms up counts as so much slower
     std::uint32_t candidates = 3;                            // of other failure domains, drawn at random for each choice
     std::uint32_t floorPercent = 50;                         // of the serving targets stay in the choice whatever their failures
-    std::uint32_t strainedFloorPercent = 85;                 // the same of those that are avoided, while the service serves too few
-    double strainedShare = 0.07;                             // of requests not served, from which on it does; the platform's bound is 0.1
+    std::uint32_t strainedFloorPercent = 85;                 // the same of those that are avoided, while the service refuses many requests
+    double strainedShare = 0.05;                 // of requests refused, from which on it does; the platform counts from 0.1, failures too
     double staleProofFactor = 1.5;               // what may run once only: a target without an answer lately counts as so much slower
     Duration proofAge = std::chrono::seconds(2); // of the newest answer, after which it counts so
-    Duration strainMemory = std::chrono::milliseconds(1500); // half-life of what is known of requests served
+    Duration strainMemory = std::chrono::milliseconds(1500); // half-life of what is known of requests refused
     std::uint32_t pathWitnesses = 2;                         // other Vms that must miss a target before it is paused here
     auto operator<=>(const BalancerOptions &) const = default;
 };
@@ -748,9 +748,9 @@
     std::optional<TargetPause>
     end(const TargetName &target, AttemptEnd end, Duration latency, TimePoint startedAt, TimePoint now, const RouteName &route = {});
 
-    /// How a request for the service ended, refused ones included. While too many aren't served, targets that failed lately get
-    /// work again, but for a few, so that those left don't carry it all.
-    void noteRequest(bool isServed, TimePoint now);
+    /// Whether a request for the service was refused by this Vm, for whatever reason. While many are, targets that failed lately
+    /// get work again, but for a few, so that those left don't carry it all. Failures don't count: they would bring more.
+    void noteRequest(bool isRefused, TimePoint now);
 
     Duration usualLatency() const;                        // of whole answers
     std::uint32_t openAt(const TargetName &target) const; // requests of this Vm
@@ -786,8 +786,6 @@
 
     Member *find(const TargetName &name);
     std::uint32_t inFlight(const Member &member, TimePoint now) const;
-    static TimePoint failurePausedUntil(const Member &member);
-    TimePoint pathPausedUntil(const Member &member, TimePoint now) const;
     TimePoint pausedUntil(const Member &member, TimePoint now) const;
     bool isDoubtful(const Member &member, TimePoint now) const;
     bool hasRoom(const Member &member, const ChoiceRequest &request, TimePoint now) const;
@@ -808,8 +806,8 @@
     std::vector<Member> m_members;
     double m_latency = 0;                         // moving average over all targets, ns; 0: unknown
     std::map<RouteName, double> m_routeLatencies; // the same of each route
-    double m_requests = 0;                        // lately, with fading weight; m_unserved of them weren't served
-    double m_unserved = 0;
+    double m_requests = 0;                        // lately, with fading weight; m_refused of them were refused
+    double m_refused = 0;
     TimePoint m_countedAt;
 };
 
--- a/packages/policy/src/balancer.cpp
+++ b/packages/policy/src/balancer.cpp
@@ -112,22 +112,15 @@
     return n;
 }
 
-TimePoint ServiceBalancer::failurePausedUntil(const Member &member)
-{
-    TimePoint until = member.failureUntil;
-    for (const auto &[vm, remote] : member.remotes) {
-        until = std::max(until, remote.failureUntil);
-    }
-    return until;
-}
-
-// One Vm's word that it misses a target may be the fault of its path.
-TimePoint ServiceBalancer::pathPausedUntil(const Member &member, TimePoint now) const
+// When the target may get work again; a time in the past when it may now. One Vm's word that it misses a target may be the
+// fault of its path.
+TimePoint ServiceBalancer::pausedUntil(const Member &member, TimePoint now) const
 {
-    const TimePoint until = std::max(member.unreachableUntil, member.declinedUntil);
+    TimePoint until = std::max({member.failureUntil, member.unreachableUntil, member.declinedUntil});
     std::uint32_t witnesses = 0;
     TimePoint missedUntil;
     for (const auto &[vm, remote] : member.remotes) {
+        until = std::max(until, remote.failureUntil);
         if (remote.unreachableUntil > now) {
             ++witnesses;
             missedUntil = std::max(missedUntil, remote.unreachableUntil);
@@ -136,12 +129,6 @@
     return witnesses >= m_options.pathWitnesses ? std::max(until, missedUntil) : until;
 }
 
-// When the target may get work again; a time in the past when it may now.
-TimePoint ServiceBalancer::pausedUntil(const Member &member, TimePoint now) const
-{
-    return std::max(failurePausedUntil(member), pathPausedUntil(member, now));
-}
-
 // A target that failed lately gets work only when no other has room. What may be repeated is trusted to it sooner than what
 // may run once only; the Vm that saw it fail tries it first.
 TimePoint ServiceBalancer::avoidedUntil(const Member &member, const ChoiceRequest &request) const
@@ -163,7 +150,7 @@
     std::vector<TimePoint> avoided;
     for (const Member &it : m_members) {
         if (it.target.state == TargetState::Serving) {
-            avoided.push_back(std::max(avoidedUntil(it, request), failurePausedUntil(it)));
+            avoided.push_back(avoidedUntil(it, request));
         }
     }
     return earliestOf(std::move(avoided), m_options.strainedFloorPercent, now);
@@ -174,15 +161,15 @@
     constexpr double fewRequests = 8; // of so few nothing follows
     const double fading
         = std::exp2(-std::chrono::duration<double>(now - m_countedAt) / std::chrono::duration<double>(m_options.strainMemory));
-    return m_requests * fading >= fewRequests && m_unserved > m_requests * m_options.strainedShare;
+    return m_requests * fading >= fewRequests && m_refused > m_requests * m_options.strainedShare;
 }
 
-void ServiceBalancer::noteRequest(bool isServed, TimePoint now)
+void ServiceBalancer::noteRequest(bool isRefused, TimePoint now)
 {
     const double fading
         = std::exp2(-std::chrono::duration<double>(now - m_countedAt) / std::chrono::duration<double>(m_options.strainMemory));
     m_requests = m_requests * fading + 1;
-    m_unserved = m_unserved * fading + (isServed ? 0 : 1);
+    m_refused = m_refused * fading + (isRefused ? 1 : 0);
     m_countedAt = now;
 }
 
@@ -256,8 +243,7 @@
     std::vector<Member *> found;
     std::vector<Member *> triedBefore;
     for (Member &it : m_members) {
-        const bool isPaused = pathPausedUntil(it, now) > keptUntil || failurePausedUntil(it) > std::max(keptUntil, trustedUntil);
-        const bool mayWork = it.target.state == TargetState::Serving && !isPaused;
+        const bool mayWork = it.target.state == TargetState::Serving && pausedUntil(it, now) <= keptUntil;
         const bool isAvoided = avoidedUntil(it, request) > trustedUntil || isDoubtful(it, now);
         if (!mayWork || !hasRoom(it, request, now) || (!takesAvoided && isAvoided)) {
             continue;
@@ -288,7 +274,7 @@
     return chosen.target;
 }
 
-// Work stays with the best targets: those that answered lately are known to work. While the service serves too few, it goes
+// Work stays with the best targets: those that answered lately are known to work. While the service refuses many, it goes
 // to all that are alike, by chance.
 ServiceBalancer::Member &
 ServiceBalancer::pick(const std::vector<Member *> &found, const ChoiceRequest &request, TimePoint now, Generator &generator) const
@@ -309,7 +295,8 @@
 void ServiceBalancer::startPause(Member &member, TimePoint &until, TimePoint now)
 {
     double factor = 1;
-    for (std::uint32_t i = 0; i < member.failures && factor < 100; ++i) {
+    const std::uint32_t growths = isStrained(now) ? 0 : member.failures;
+    for (std::uint32_t i = 0; i < growths && factor < 100; ++i) {
         factor *= pauseGrowth;
     }
     ++member.failures;
--- a/packages/policy/tests/test_seats.cpp
+++ b/packages/policy/tests/test_seats.cpp
@@ -10,6 +10,7 @@
 // `n` Vms in turn over the failure domains, registered after those that are there.
 void addVms(std::vector<RegisteredVm> &vms, std::size_t n, std::size_t domains, std::uint32_t millicores)
 {
+    vms.reserve(vms.size() + n);
     for (std::size_t i = 0; i < n; ++i) {
         const std::uint64_t number = vms.size() + 1;
         vms.push_back({.name = {"vm-" + std::to_string(number)},
@@ -28,6 +29,7 @@
 std::vector<VmName> namesOf(const std::vector<RegisteredVm> &vms)
 {
     std::vector<VmName> names;
+    names.reserve(vms.size());
     for (const RegisteredVm &it : vms) {
         names.push_back(it.name);
     }
--- a/packages/proxy/src/dispatcher.cpp
+++ b/packages/proxy/src/dispatcher.cpp
@@ -181,7 +181,6 @@
         progress.place = TargetPlace(); // a slow caller takes no target's time
         if (auto *answer = std::get_if<WholeAnswer>(&result)) {
             if (answer->header.result_int() >= firstServerError) {
-                trace.isFailurePassedOn = true;
                 logRequestEvent(Event::FailurePassedOn,
                                 {{"request_id", request.requestId},
                                  {"service", progress.id.service.value},
--- a/packages/proxy/src/dispatcher.h
+++ b/packages/proxy/src/dispatcher.h
@@ -25,7 +25,6 @@
     Duration timeAtTargets{};       // connecting, sending, waiting and receiving
     AccountName account;            // that the request runs for, once it is known
     ServiceName service;            // that it is for, once it is known
-    bool isFailurePassedOn = false; // the answer is a target's failure
 };
 
 /// The message that a target gets: no credentials, no hop-by-hop headers, the account and request id set.
--- a/packages/proxy/src/session.cpp
+++ b/packages/proxy/src/session.cpp
@@ -316,7 +316,7 @@
     }
     const Duration total = m_shared.parts.clock.now() - receivedAt;
     if (!trace.service.value.empty()) {
-        m_shared.dispatcher.targets().noteOutcome(trace.service, !refusal && !trace.isFailurePassedOn);
+        m_shared.dispatcher.targets().noteOutcome(trace.service, refusal.has_value());
     }
     if (refusal) {
         logRefusal(*refusal, requestId, trace.account, path, total);
--- a/packages/proxy/src/target_table.cpp
+++ b/packages/proxy/src/target_table.cpp
@@ -189,10 +189,10 @@
     entry(service).budget.noteRequest(m_clock.now());
 }
 
-void TargetTable::noteOutcome(const ServiceName &service, bool isServed)
+void TargetTable::noteOutcome(const ServiceName &service, bool isRefused)
 {
     const std::lock_guard lock(m_mutex);
-    entry(service).balancer.noteRequest(isServed, m_clock.now());
+    entry(service).balancer.noteRequest(isRefused, m_clock.now());
 }
 
 bool TargetTable::takeRepeat(const ServiceName &service)
--- a/packages/proxy/src/target_table.h
+++ b/packages/proxy/src/target_table.h
@@ -75,9 +75,9 @@
     /// Chooses a target and takes a place there; waits for one while that helps the request.
     net::awaitable<tl::expected<Target, AcquireFailure>> acquire(const AcquireRequest &request, TargetPlace &place);
 
-    void noteRequest(const ServiceName &service);                // a first request, for the retry budget
-    void noteOutcome(const ServiceName &service, bool isServed); // of a request, refused ones included
-    bool takeRepeat(const ServiceName &service);                 // false: the retry budget is spent
+    void noteRequest(const ServiceName &service);                 // a first request, for the retry budget
+    void noteOutcome(const ServiceName &service, bool isRefused); // of a request
+    bool takeRepeat(const ServiceName &service);                  // false: the retry budget is spent
     Duration usualLatency(const ServiceName &service) const;
     Duration drainTime(const ServiceName &service) const; // until those who wait now are expected to be served
 
--- a/soak/world.h
+++ b/soak/world.h
@@ -3,7 +3,7 @@
 #pragma once
 
 #include "callers.h"
-#include "processes.h"
+#include "tests/processes.h"
 #include "target.h"
 
 #include <functional>
