Keep three quarters of a service's targets in use whatever failed lately

The preference is taken out, scores differ by chance up to a half, and of the targets avoided those whose failure is oldest get work again above a quarter.

--- a/packages/policy/include/pollenspoke/policy.h
+++ b/packages/policy/include/pollenspoke/policy.h
@@ -690,10 +690,9 @@
     double coldFactor = 2;                                   // a target that warms up counts as so much slower
     std::uint32_t candidates = 3;                            // of other failure domains, drawn at random for each choice
     std::uint32_t floorPercent = 50;                         // of the serving targets stay in the choice whatever their failures
-    std::uint32_t strainedFloorPercent = 85;                 // the same of those that are avoided, while the service refuses many requests
-    double strainedShare = 0.05;                 // of requests refused, from which on it does; the platform counts from 0.1, failures too
-    double staleProofFactor = 1.5;               // what may run once only: a target without an answer lately counts as so much slower
-    Duration proofAge = std::chrono::seconds(2); // of the newest answer, after which it counts so
+    std::uint32_t avoidanceFloorPercent = 75; // of the serving targets get work although they failed lately, the oldest failures first
+    std::uint32_t strainedFloorPercent = 85;  // the same of those that are avoided, while the service refuses many requests
+    double strainedShare = 0.05;              // of requests refused, from which on it does; the platform counts from 0.1, failures too
     Duration strainMemory = std::chrono::milliseconds(1500); // half-life of what is known of requests refused
     std::uint32_t pathWitnesses = 2;                         // other Vms that must miss a target before it is paused here
     auto operator<=>(const BalancerOptions &) const = default;
--- a/packages/policy/src/balancer.cpp
+++ b/packages/policy/src/balancer.cpp
@@ -11,8 +11,8 @@
 constexpr std::size_t mostRoutes = 10000;     // of which latencies are kept; routes come and go with configurations
 constexpr double pauseGrowth = 1.5;           // of each pause over the one before
 constexpr std::uint32_t trialSlots = 1;       // requests that a target on trial may hold
-constexpr double jitter = 0.1;                // largest random part of a score, so that Vms with equal views choose differently
-constexpr double alike = 2;                   // the same where all that are alike are to get work: more than latencies differ by chance
+constexpr double jitter = 0.5;                // largest random part of a score: latencies of equal targets differ as much by chance
+constexpr double alike = 2;                   // largest random factor of a score, where all that are alike are to get work
 
 double movingAverage(double average, double value, double weight)
 {
@@ -144,16 +144,13 @@
 // Targets that are avoided until this time at most get work all the same.
 TimePoint ServiceBalancer::avoidanceFloor(const ChoiceRequest &request, TimePoint now) const
 {
-    if (!isStrained(now)) {
-        return now;
-    }
     std::vector<TimePoint> avoided;
     for (const Member &it : m_members) {
         if (it.target.state == TargetState::Serving) {
             avoided.push_back(avoidedUntil(it, request));
         }
     }
-    return earliestOf(std::move(avoided), m_options.strainedFloorPercent, now);
+    return earliestOf(std::move(avoided), isStrained(now) ? m_options.strainedFloorPercent : m_options.avoidanceFloorPercent, now);
 }
 
 bool ServiceBalancer::isStrained(TimePoint now) const
@@ -217,10 +214,6 @@
     if (member.target.failureDomain != request.local) {
         latency *= m_options.distanceFactor;
     }
-    const bool isStale = member.slowness > 0 && now - member.answeredAt > m_options.proofAge; // a new target is to be tried
-    if (!request.isRepeatable && isStale) {
-        latency *= m_options.staleProofFactor;
-    }
     return latency * (1.0 + inFlight(member, now) / static_cast<double>(member.target.slots));
 }
 
@@ -274,8 +267,7 @@
     return chosen.target;
 }
 
-// Work stays with the best targets: those that answered lately are known to work. While the service refuses many, it goes
-// to all that are alike, by chance.
+// The best score by chance, so that no sound target stays idle for long; more so while the service refuses many.
 ServiceBalancer::Member &
 ServiceBalancer::pick(const std::vector<Member *> &found, const ChoiceRequest &request, TimePoint now, Generator &generator) const
 {
