--- a/packages/proxy/src/dispatcher.h
+++ b/packages/proxy/src/dispatcher.h
@@ -21,10 +21,10 @@
 /// Facts that outlive a cancelled dispatch.
 struct DispatchTrace
 {
-    bool mayHaveRun = false;        // some target may have acted on the request
-    Duration timeAtTargets{};       // connecting, sending, waiting and receiving
-    AccountName account;            // that the request runs for, once it is known
-    ServiceName service;            // that it is for, once it is known
+    bool mayHaveRun = false;  // some target may have acted on the request
+    Duration timeAtTargets{}; // connecting, sending, waiting and receiving
+    AccountName account;      // that the request runs for, once it is known
+    ServiceName service;      // that it is for, once it is known
 };
 
 /// The message that a target gets: no credentials, no hop-by-hop headers, the account and request id set.
--- a/soak/world.h
+++ b/soak/world.h
@@ -3,8 +3,8 @@
 #pragma once
 
 #include "callers.h"
-#include "tests/processes.h"
 #include "target.h"
+#include "tests/processes.h"
 
 #include <functional>
 
