Work out the floors once a choice; one sum over slots, one look-up; no bucket is made for a look-up

ServiceBalancer worked out the pause floor, and since the last changes the avoidance floor, up to twice a choice; floorTime() and avoidanceFloor(), usableSlots() and freeSlots(), isStrained() and noteRequest(), openAt() and find() were twins. isOwnFailure() counted, so it is noteFailure() now. QuotaPool made an account's bucket at each request to throw it away. The largest random factor of a score is said the same way twice.

--- a/packages/policy/include/pollenspoke/policy.h
+++ b/packages/policy/include/pollenspoke/policy.h
@@ -783,6 +783,14 @@
         TimePoint answeredAt;             // of the newest of them
     };
 
+    // Until when a target may be paused, or avoided, and get work all the same.
+    struct Floors
+    {
+        TimePoint paused;
+        TimePoint avoided;
+    };
+
+    const Member *find(const TargetName &name) const;
     Member *find(const TargetName &name);
     std::uint32_t inFlight(const Member &member, TimePoint now) const;
     TimePoint pausedUntil(const Member &member, TimePoint now) const;
@@ -790,13 +798,17 @@
     bool hasRoom(const Member &member, const ChoiceRequest &request, TimePoint now) const;
     double expectedLatency(const Member &member, TimePoint now) const;
     double score(const Member &member, const ChoiceRequest &request, TimePoint now) const;
-    TimePoint floorTime(TimePoint now) const;
+    template<typename Until>
+    TimePoint floorOf(std::uint32_t percent, TimePoint now, const Until &until) const;
+    TimePoint pauseFloor(TimePoint now) const;
     TimePoint avoidedUntil(const Member &member, const ChoiceRequest &request) const;
     TimePoint avoidanceFloor(const ChoiceRequest &request, TimePoint now) const;
+    double fading(TimePoint now) const;
     bool isStrained(TimePoint now) const;
-    bool isOwnFailure(Member &member, Duration latency) const;
+    bool noteFailure(Member &member, Duration latency) const; // true: it is the target's, not the request's own
     void noteLatency(Member &member, Duration latency, const RouteName &route);
-    std::vector<Member *> candidates(const ChoiceRequest &request, TimePoint now, bool takesAvoided);
+    std::vector<Member *> candidates(const ChoiceRequest &request, TimePoint now, const Floors &floors, bool takesAvoided);
+    std::uint32_t sumSlots(TimePoint now, bool countsTaken) const;
     Member &pick(const std::vector<Member *> &found, const ChoiceRequest &request, TimePoint now, Generator &generator) const;
     void startPause(Member &member, TimePoint &until, TimePoint now);
     Duration longestDistrust() const;
@@ -921,7 +933,7 @@
     };
 
     Limits share(const AccountName &name, const Limits &limits) const;
-    double firstTokens(const AccountName &name, const Limits &limits) const;
+    Account makeAccount(const AccountName &name, const Limits &limits, TimePoint now) const;
     Account &account(const AccountName &name, const Limits &limits, TimePoint now);
 
     QuotaPoolOptions m_options;
--- a/packages/policy/src/balancer.cpp
+++ b/packages/policy/src/balancer.cpp
@@ -1,6 +1,7 @@
 #include <algorithm>
 #include <cmath>
 #include <pollenspoke/policy.h>
+#include <utility>
 
 namespace Pollenspoke {
 
@@ -11,26 +12,14 @@
 constexpr std::size_t mostRoutes = 10000;     // of which latencies are kept; routes come and go with configurations
 constexpr double pauseGrowth = 1.5;           // of each pause over the one before
 constexpr std::uint32_t trialSlots = 1;       // requests that a target on trial may hold
-constexpr double jitter = 0.5;                // largest random part of a score: latencies of equal targets differ as much by chance
-constexpr double alike = 2;                   // largest random factor of a score, where all that are alike are to get work
+constexpr double chance = 1.5;                // largest random factor of a score: latencies of equal targets differ as much by chance
+constexpr double strainedChance = 2;          // the same where all that are alike are to get work
 
 double movingAverage(double average, double value, double weight)
 {
     return average <= 0 ? value : average + weight * (value - average);
 }
 
-// The time by which so many percent of the given ones are over, at least now.
-TimePoint earliestOf(std::vector<TimePoint> times, std::uint32_t percent, TimePoint now)
-{
-    if (times.empty()) {
-        return now;
-    }
-    const std::size_t kept = std::max<std::size_t>(1, (times.size() * percent + 99) / 100);
-    const auto last = times.begin() + static_cast<std::ptrdiff_t>(kept) - 1;
-    std::nth_element(times.begin(), last, times.end());
-    return std::max(*last, now);
-}
-
 } // namespace
 
 ServiceBalancer::ServiceBalancer(BalancerOptions options)
@@ -38,12 +27,17 @@
 {
 }
 
-ServiceBalancer::Member *ServiceBalancer::find(const TargetName &name)
+const ServiceBalancer::Member *ServiceBalancer::find(const TargetName &name) const
 {
     const auto it = std::find_if(m_members.begin(), m_members.end(), [&name](const Member &member) { return member.target.name == name; });
     return it == m_members.end() ? nullptr : &*it;
 }
 
+ServiceBalancer::Member *ServiceBalancer::find(const TargetName &name)
+{
+    return const_cast<Member *>(std::as_const(*this).find(name));
+}
+
 void ServiceBalancer::setTargets(const std::vector<Target> &targets, TimePoint now)
 {
     std::vector<Member> members;
@@ -73,12 +67,11 @@
                 member->isOnTrial = true;
                 member->failures = std::max(member->failures, it.failures);
             }
-            member->remotes[vm]
-                = Remote{.inFlight = it.inFlight,
-                         .failureUntil = now + std::min(it.failurePause, m_options.longestPause),
-                         .distrustUntil = it.avoidance > Duration(0) ? now + std::min(it.avoidance, longestDistrust()) : TimePoint(),
-                         .unreachableUntil = now + std::min(it.unreachablePause, m_options.longestPause),
-                         .expiresAt = now + m_options.newsTerm};
+            member->remotes[vm] = Remote{.inFlight = it.inFlight,
+                                         .failureUntil = now + std::min(it.failurePause, m_options.longestPause),
+                                         .distrustUntil = now + std::min(it.avoidance, longestDistrust()),
+                                         .unreachableUntil = now + std::min(it.unreachablePause, m_options.longestPause),
+                                         .expiresAt = now + m_options.newsTerm};
         }
     }
 }
@@ -141,32 +134,54 @@
     return until;
 }
 
-// Targets that are avoided until this time at most get work all the same.
-TimePoint ServiceBalancer::avoidanceFloor(const ChoiceRequest &request, TimePoint now) const
+// The time by which so many percent of the serving targets are done with what lasts `until`, now at least.
+template<typename Until>
+TimePoint ServiceBalancer::floorOf(std::uint32_t percent, TimePoint now, const Until &until) const
 {
-    std::vector<TimePoint> avoided;
+    std::vector<TimePoint> times;
+    times.reserve(m_members.size());
     for (const Member &it : m_members) {
         if (it.target.state == TargetState::Serving) {
-            avoided.push_back(avoidedUntil(it, request));
+            times.push_back(until(it));
         }
     }
-    return earliestOf(std::move(avoided), isStrained(now) ? m_options.strainedFloorPercent : m_options.avoidanceFloorPercent, now);
+    if (times.empty()) {
+        return now;
+    }
+    const std::size_t kept = std::max<std::size_t>(1, (times.size() * percent + 99) / 100);
+    const auto last = times.begin() + static_cast<std::ptrdiff_t>(kept) - 1;
+    std::nth_element(times.begin(), last, times.end());
+    return std::max(*last, now);
+}
+
+TimePoint ServiceBalancer::pauseFloor(TimePoint now) const
+{
+    return floorOf(m_options.floorPercent, now, [this, now](const Member &it) { return pausedUntil(it, now); });
+}
+
+TimePoint ServiceBalancer::avoidanceFloor(const ChoiceRequest &request, TimePoint now) const
+{
+    const std::uint32_t percent = isStrained(now) ? m_options.strainedFloorPercent : m_options.avoidanceFloorPercent;
+    return floorOf(percent, now, [this, &request](const Member &it) { return avoidedUntil(it, request); });
+}
+
+// What is left of the weight of requests counted until now.
+double ServiceBalancer::fading(TimePoint now) const
+{
+    return std::exp2(-std::chrono::duration<double>(now - m_countedAt) / std::chrono::duration<double>(m_options.strainMemory));
 }
 
 bool ServiceBalancer::isStrained(TimePoint now) const
 {
     constexpr double fewRequests = 8; // of so few nothing follows
-    const double fading
-        = std::exp2(-std::chrono::duration<double>(now - m_countedAt) / std::chrono::duration<double>(m_options.strainMemory));
-    return m_requests * fading >= fewRequests && m_refused > m_requests * m_options.strainedShare;
+    return m_requests * fading(now) >= fewRequests && m_refused > m_requests * m_options.strainedShare;
 }
 
 void ServiceBalancer::noteRequest(bool isRefused, TimePoint now)
 {
-    const double fading
-        = std::exp2(-std::chrono::duration<double>(now - m_countedAt) / std::chrono::duration<double>(m_options.strainMemory));
-    m_requests = m_requests * fading + 1;
-    m_refused = m_refused * fading + (isRefused ? 1 : 0);
+    const double left = fading(now);
+    m_requests = m_requests * left + 1;
+    m_refused = m_refused * left + (isRefused ? 1 : 0);
     m_countedAt = now;
 }
 
@@ -217,28 +232,17 @@
     return latency * (1.0 + inFlight(member, now) / static_cast<double>(member.target.slots));
 }
 
-// Targets whose pause ends by this time stay in the choice, so that the floor holds.
-TimePoint ServiceBalancer::floorTime(TimePoint now) const
-{
-    std::vector<TimePoint> pauses;
-    for (const Member &it : m_members) {
-        if (it.target.state == TargetState::Serving) {
-            pauses.push_back(pausedUntil(it, now));
-        }
-    }
-    return earliestOf(std::move(pauses), m_options.floorPercent, now);
-}
-
-std::vector<ServiceBalancer::Member *> ServiceBalancer::candidates(const ChoiceRequest &request, TimePoint now, bool takesAvoided)
+std::vector<ServiceBalancer::Member *>
+ServiceBalancer::candidates(const ChoiceRequest &request, TimePoint now, const Floors &floors, bool takesAvoided)
 {
-    const TimePoint keptUntil = floorTime(now);
-    const TimePoint trustedUntil = avoidanceFloor(request, now);
     std::vector<Member *> found;
     std::vector<Member *> triedBefore;
     for (Member &it : m_members) {
-        const bool mayWork = it.target.state == TargetState::Serving && pausedUntil(it, now) <= keptUntil;
-        const bool isAvoided = avoidedUntil(it, request) > trustedUntil || isDoubtful(it, now);
-        if (!mayWork || !hasRoom(it, request, now) || (!takesAvoided && isAvoided)) {
+        const bool mayWork = it.target.state == TargetState::Serving && pausedUntil(it, now) <= floors.paused;
+        if (!mayWork || !hasRoom(it, request, now)) {
+            continue;
+        }
+        if (!takesAvoided && (avoidedUntil(it, request) > floors.avoided || isDoubtful(it, now))) {
             continue;
         }
         const bool isTried = std::find(request.tried.begin(), request.tried.end(), it.target.name) != request.tried.end();
@@ -249,9 +253,10 @@
 
 std::optional<Target> ServiceBalancer::choose(const ChoiceRequest &request, TimePoint now, Generator &generator)
 {
-    std::vector<Member *> found = candidates(request, now, false);
+    const Floors floors{.paused = pauseFloor(now), .avoided = avoidanceFloor(request, now)};
+    std::vector<Member *> found = candidates(request, now, floors, false);
     if (found.empty()) {
-        found = candidates(request, now, true);
+        found = candidates(request, now, floors, true);
     }
     if (found.empty()) {
         return std::nullopt;
@@ -271,7 +276,7 @@
 ServiceBalancer::Member &
 ServiceBalancer::pick(const std::vector<Member *> &found, const ChoiceRequest &request, TimePoint now, Generator &generator) const
 {
-    std::uniform_real_distribution<double> noise(1.0, isStrained(now) ? alike : 1.0 + jitter);
+    std::uniform_real_distribution<double> noise(1.0, isStrained(now) ? strainedChance : chance);
     Member *best = found.front();
     double bestScore = 0;
     for (Member *it : found) {
@@ -299,7 +304,7 @@
 }
 
 // A target that fails all it gets does so at once; a failure after the usual work may be the request's own.
-bool ServiceBalancer::isOwnFailure(Member &member, Duration latency) const
+bool ServiceBalancer::noteFailure(Member &member, Duration latency) const
 {
     if (member.isOnTrial || latency < std::chrono::duration_cast<Duration>(usualLatency() * m_options.workedShare)) {
         return true;
@@ -351,7 +356,7 @@
         member->declinedUntil = now + m_options.declinePause;
         return std::nullopt;
     case AttemptEnd::Failed:
-        if (!isOwnFailure(*member, latency)) {
+        if (!noteFailure(*member, latency)) {
             return std::nullopt;
         }
         startPause(*member, member->failureUntil, now);
@@ -372,34 +377,31 @@
 
 std::uint32_t ServiceBalancer::openAt(const TargetName &target) const
 {
-    const auto it
-        = std::find_if(m_members.begin(), m_members.end(), [&target](const Member &member) { return member.target.name == target; });
-    return it == m_members.end() ? 0 : static_cast<std::uint32_t>(it->open.size());
+    const Member *member = find(target);
+    return member == nullptr ? 0 : static_cast<std::uint32_t>(member->open.size());
 }
 
-std::uint32_t ServiceBalancer::usableSlots(TimePoint now) const
+std::uint32_t ServiceBalancer::sumSlots(TimePoint now, bool countsTaken) const
 {
-    const TimePoint keptUntil = floorTime(now);
+    const TimePoint keptUntil = pauseFloor(now);
     std::uint32_t n = 0;
     for (const Member &it : m_members) {
         if (it.target.state == TargetState::Serving && pausedUntil(it, now) <= keptUntil) {
-            n += it.isOnTrial ? trialSlots : it.target.slots;
+            const std::uint32_t slots = it.isOnTrial ? trialSlots : it.target.slots;
+            n += countsTaken ? slots : slots - std::min(slots, inFlight(it, now));
         }
     }
     return n;
 }
 
+std::uint32_t ServiceBalancer::usableSlots(TimePoint now) const
+{
+    return sumSlots(now, true);
+}
+
 std::uint32_t ServiceBalancer::freeSlots(TimePoint now) const
 {
-    const TimePoint keptUntil = floorTime(now);
-    std::uint32_t n = 0;
-    for (const Member &it : m_members) {
-        if (it.target.state == TargetState::Serving && pausedUntil(it, now) <= keptUntil) {
-            const std::uint32_t slots = it.isOnTrial ? trialSlots : it.target.slots;
-            n += slots - std::min(slots, inFlight(it, now));
-        }
-    }
-    return n;
+    return sumSlots(now, false);
 }
 
 bool ServiceBalancer::hasServingTarget() const
--- a/packages/policy/src/quota_pool.cpp
+++ b/packages/policy/src/quota_pool.cpp
@@ -39,25 +39,27 @@
                   .burst = (limits.burst * m_options.rateFactor + m_options.extraBurst) / n};
 }
 
-// Half a token admits nobody: the first of the homes start with a whole one each.
-double QuotaPool::firstTokens(const AccountName &name, const Limits &limits) const
+// Half a token admits nobody: the first of the homes start with a whole one each. Before the homes are known there are none.
+QuotaPool::Account QuotaPool::makeAccount(const AccountName &name, const Limits &limits, TimePoint now) const
 {
     const std::vector<VmName> sharers = homes(name, limits);
-    const auto place = static_cast<std::size_t>(std::find(sharers.begin(), sharers.end(), m_self) - sharers.begin());
-    const auto whole = static_cast<std::size_t>(std::ceil(static_cast<double>(sharers.size()) * m_options.firstTokens));
-    return place < whole && place < sharers.size() ? 1 : 0;
+    const double whole = std::ceil(static_cast<double>(sharers.size()) * m_options.firstTokens);
+    const auto end = sharers.begin() + std::min(static_cast<std::ptrdiff_t>(whole), std::ssize(sharers));
+    const bool isFirst = std::find(sharers.begin(), end, m_self) != end;
+    return Account{.bucket = TokenBucket(share(name, limits), isFirst ? 1 : 0, now),
+                   .limits = limits,
+                   .seatsVersion = m_seatsVersion,
+                   .hasFirstTokens = !m_holders.empty()};
 }
 
 QuotaPool::Account &QuotaPool::account(const AccountName &name, const Limits &limits, TimePoint now)
 {
-    Account &it = m_accounts.try_emplace(name, Account{.bucket = TokenBucket({}, now), .limits = limits, .seatsVersion = m_seatsVersion})
-                      .first->second;
-    if (!it.hasFirstTokens && !m_holders.empty()) {
-        it = Account{.bucket = TokenBucket(share(name, limits), firstTokens(name, limits), now),
-                     .limits = limits,
-                     .seatsVersion = m_seatsVersion,
-                     .hasFirstTokens = true};
-    } else if (it.limits != limits || it.seatsVersion != m_seatsVersion) {
+    const auto found = m_accounts.find(name);
+    if (found == m_accounts.end() || (!found->second.hasFirstTokens && !m_holders.empty())) {
+        return m_accounts.insert_or_assign(name, makeAccount(name, limits, now)).first->second;
+    }
+    Account &it = found->second;
+    if (it.limits != limits || it.seatsVersion != m_seatsVersion) {
         it.bucket.setLimits(share(name, limits), now);
         it.limits = limits;
         it.seatsVersion = m_seatsVersion;
