--- a/packages/fleet/src/feed.cpp
+++ b/packages/fleet/src/feed.cpp
@@ -9,11 +9,12 @@
 namespace net = boost::asio;
 
 constexpr auto asTuple = net::as_tuple(net::use_awaitable);
-constexpr auto pollInterval = std::chrono::milliseconds(300);  // with the source's own pause, a change arrives within 0.6 s
-constexpr auto replyTimeout = std::chrono::milliseconds(40);   // a round trip within the region is about 2 ms
-constexpr std::uint64_t anyDomainInterval = 3;                 // every third request may go to a source in any failure domain
-constexpr auto startupGrace = std::chrono::milliseconds(2500); // until a new process has received reports from the store watchers
-constexpr auto directWatchTimeout = std::chrono::seconds(2);   // for a direct watch of the store by a Vm that isn't a store watcher
+constexpr auto holderPollInterval = std::chrono::milliseconds(300); // of seat holders: their requests are subject to the changes
+constexpr auto plainPollInterval = std::chrono::milliseconds(600);  // of other Vms; two hops stay well below the platform's bounds
+constexpr auto replyTimeout = std::chrono::milliseconds(150);       // a round trip takes about 2 ms, a large configuration longer
+constexpr std::uint64_t anyDomainInterval = 3;                      // every third request may go to a source in any failure domain
+constexpr auto startupGrace = std::chrono::milliseconds(2500);      // until the seat holders of a new fleet have found each other
+constexpr auto directWatchTimeout = std::chrono::seconds(2);        // for a direct watch of the store by a Vm that isn't a store watcher
 
 } // namespace
 
@@ -22,6 +23,21 @@
     m_endRevision = revision;
     m_startRevision = revision;
     m_changes.clear();
+    m_documentRevisions.clear();
+}
+
+void ChangeLog::append(const DocumentChange &change)
+{
+    m_changes.push_back({.change = change, .bytes = change.document.name.size() + formatJsonText(change.document.spec).size()});
+    if (change.isDeleted) {
+        m_documentRevisions.erase(change.document.name);
+    } else {
+        m_documentRevisions[change.document.name] = change.document.revision;
+    }
+    while (m_changes.size() > maxChanges) {
+        m_startRevision = std::max(m_startRevision, m_changes.front().change.document.revision);
+        m_changes.pop_front();
+    }
 }
 
 void ChangeLog::add(const DocumentChanges &changes)
@@ -29,28 +45,60 @@
     if (!m_endRevision) {
         return;
     }
-    m_endRevision = std::max(*m_endRevision, changes.revision);
     for (const DocumentChange &it : changes.events) {
-        m_changes.push_back({.change = it, .bytes = it.document.name.size() + formatJsonText(it.document.spec).size()});
+        if (it.document.revision > *m_endRevision) { // else already logged from another source
+            append(it);
+        }
     }
-    while (m_changes.size() > maxChanges) {
-        m_startRevision = std::max(m_startRevision, m_changes.front().change.document.revision);
-        m_changes.pop_front();
+    m_endRevision = std::max(*m_endRevision, changes.revision);
+}
+
+void ChangeLog::addList(const DocumentList &list)
+{
+    if (!m_endRevision) {
+        restartAt(list.revision);
+        for (const StoredDocument &it : list.items) {
+            m_documentRevisions[it.name] = it.revision;
+        }
+        return;
+    }
+    if (list.revision <= *m_endRevision) {
+        return;
     }
+    std::map<std::string, std::uint64_t> missing = m_documentRevisions;
+    std::vector<DocumentChange> changes;
+    for (const StoredDocument &it : list.items) {
+        const auto known = missing.find(it.name);
+        if (known == missing.end() || known->second < it.revision) {
+            changes.push_back({.document = it});
+        }
+        missing.erase(it.name);
+    }
+    std::sort(changes.begin(), changes.end(), [](const DocumentChange &left, const DocumentChange &right) {
+        return left.document.revision < right.document.revision;
+    });
+    for (const auto &[name, revision] : missing) {
+        changes.push_back({.isDeleted = true, .document = {.name = name, .revision = list.revision}});
+    }
+    std::for_each(changes.begin(), changes.end(), [this](const DocumentChange &it) { append(it); });
+    m_endRevision = list.revision;
 }
 
 std::optional<DocumentChanges> ChangeLog::since(std::uint64_t revision) const
 {
+    if (m_endRevision && revision > *m_endRevision) {
+        return DocumentChanges{.revision = *m_endRevision}; // the receiver is ahead of this Vm
+    }
     if (!covers(revision)) {
         return std::nullopt;
     }
+    const auto isNewer = [revision](const Entry &it) { return it.change.document.revision > revision; };
+    const auto first = std::find_if_not(m_changes.rbegin(), m_changes.rend(), isNewer).base();
     DocumentChanges changes{.revision = *m_endRevision};
     std::size_t bytes = 0;
-    for (const Entry &it : m_changes) {
-        if (it.change.document.revision > revision) {
-            bytes += it.bytes;
-            changes.events.push_back(it.change);
-        }
+    for (auto it = first; it != m_changes.end(); ++it) {
+        bytes += it->bytes;
+        changes.events.push_back(it->change);
     }
     return bytes > maxReplyBytes ? std::nullopt : std::optional(std::move(changes));
 }
@@ -64,6 +112,7 @@
     , m_metrics(metrics)
     , m_generator(std::random_device{}())
     , m_startedAt(clock.now())
+    , m_lastStoreContactAt(m_startedAt)
 {
 }
 
@@ -73,9 +122,19 @@
     return std::any_of(watchers.begin(), watchers.end(), [this](const VmName &it) { return m_members.isSelf(it); });
 }
 
-const Member *FeedStore::chooseSource(std::uint64_t since)
+bool FeedStore::isInStartupGrace() const
 {
-    const std::vector<const Member *> sources = m_members.feedSources(since, ++m_requestCount % anyDomainInterval != 0, m_clock.now());
+    return m_clock.now() - m_startedAt < startupGrace;
+}
+
+const Member *FeedStore::chooseSource()
+{
+    std::uint64_t newestRevision = 0;
+    for (const auto &[kind, log] : m_logs) {
+        newestRevision = std::max(newestRevision, log.endRevision().value_or(0));
+    }
+    const bool prefersOwnDomain = ++m_requestCount % anyDomainInterval != 0;
+    const std::vector<const Member *> sources = m_members.feedSources(newestRevision, prefersOwnDomain, m_clock.now());
     if (sources.empty()) {
         return nullptr;
     }
@@ -87,10 +146,9 @@
 {
     m_metrics.count(Counter::StoreCalls);
     Result<DocumentList> result = co_await m_store.list(kind, consistency);
-    if (result && isStoreWatcher()) {
-        m_logs[kind].restartAt(result->revision);
-    } else {
-        m_logs[kind].invalidate();
+    if (result) {
+        m_lastStoreContactAt = m_clock.now();
+        m_logs[kind].addList(*result);
     }
     co_return result;
 }
@@ -98,69 +156,130 @@
 DocumentStore::Call<DocumentChanges> FeedStore::watchStore(std::string kind, std::uint64_t since, Duration wait)
 {
     m_metrics.count(Counter::StoreCalls);
-    if (!m_logs[kind].covers(since)) {
-        m_logs[kind].restartAt(since);
-    }
     Result<DocumentChanges> changes = co_await m_store.watch(kind, since, wait);
     if (changes) {
+        m_lastStoreContactAt = m_clock.now();
         m_logs[kind].add(*changes);
-    } else {
-        m_logs[kind].invalidate();
     }
     co_return changes;
 }
 
 DocumentStore::Call<DocumentChanges> FeedStore::watch(std::string kind, std::uint64_t since, Duration wait)
 {
+    ChangeLog &log = m_logs[kind];
+    if (!log.covers(since)) {
+        log.restartAt(since);
+    }
+    Watch &watch = m_watches[kind];
+    watch.failures = {};
     const TimePoint deadline = m_clock.now() + wait;
     net::steady_timer timer(m_context);
-    FeedFailures failures;
-    while (!failures.isLimitReached() && !isStoreWatcher()) {
-        const Member *source = chooseSource(since);
-        const bool isInStartupGrace = m_clock.now() - m_startedAt < startupGrace;
-        if (source == nullptr && !isInStartupGrace) {
-            break;
+    while (!isStoreWatcher() && !watch.failures.isLimitReached()) {
+        const TimePoint now = m_clock.now();
+        std::optional<DocumentChanges> changes = log.since(since);
+        const bool isStoreSilent = now - m_lastStoreContactAt > storeSilenceLimit;
+        if (changes && (!changes->events.empty() || (now >= deadline && !isStoreSilent))) {
+            co_return std::move(*changes);
         }
-        m_logs[kind].invalidate();
-        std::optional<FeedReply> reply;
-        if (source != nullptr) {
-            reply = co_await requestChanges(*source, kind, since);
+        watch.timer = &timer;
+        timer.expires_after(isStoreSilent ? wait : deadline - now);
+        co_await timer.async_wait(asTuple);
+        watch.timer = nullptr;
+    }
+    const Duration timeout = isStoreWatcher() ? wait : std::min<Duration>(wait, directWatchTimeout);
+    co_return co_await watchStore(kind, since, timeout);
+}
+
+void FeedStore::wake(Watch &watch)
+{
+    if (watch.timer != nullptr) {
+        watch.timer->cancel();
+    }
+}
+
+void FeedStore::startPolling()
+{
+    net::co_spawn(m_context, poll(), net::detached);
+}
+
+net::awaitable<void> FeedStore::poll()
+{
+    net::steady_timer timer(m_context);
+    for (;;) {
+        const bool holdsSeat = m_members.isSeatHolder(m_members.self());
+        timer.expires_after(holdsSeat ? holderPollInterval : plainPollInterval);
+        co_await timer.async_wait(net::use_awaitable);
+        if (!isStoreWatcher()) {
+            co_await pollOnce();
         }
-        const std::optional<DocumentChanges> changes = reply ? std::move(reply->changes) : std::nullopt;
-        if (changes) {
-            failures.recordChanges();
-        } else if (reply) {
-            failures.recordNotCovered();
-        } else if (!isInStartupGrace) {
-            failures.recordTimeout();
+        for (auto &[kind, it] : m_watches) {
+            wake(it); // also if this Vm became a store watcher
         }
-        since = changes ? std::max(since, changes->revision) : since;
-        if (changes && (!changes->events.empty() || m_clock.now() >= deadline)) {
-            co_return *changes;
+    }
+}
+
+net::awaitable<void> FeedStore::pollOnce()
+{
+    const Member *source = chooseSource();
+    std::optional<FeedReply> reply;
+    if (source != nullptr) {
+        reply = co_await requestChanges(*source);
+    }
+    if (reply) {
+        applyReply(*reply);
+        co_return;
+    }
+    for (auto &[kind, it] : m_watches) {
+        if (!isInStartupGrace()) {
+            it.failures.recordTimeout();
         }
-        timer.expires_after(pollInterval);
-        co_await timer.async_wait(net::use_awaitable);
     }
-    const Duration timeout = isStoreWatcher() ? wait : std::min<Duration>(wait, directWatchTimeout);
-    co_return co_await watchStore(kind, since, timeout);
 }
 
-net::awaitable<std::optional<FeedReply>> FeedStore::requestChanges(const Member &source, std::string kind, std::uint64_t since)
+void FeedStore::applyReply(const FeedReply &reply)
 {
-    const std::uint64_t id = ++m_lastRequestId;
-    PendingRequest &pending
-        = m_pendingRequests.emplace(id, PendingRequest{.timer = net::steady_timer(m_context, replyTimeout)}).first->second;
-    m_link.send(source.registration.peers, FeedRequest{.id = id, .kind = kind, .since = since});
-    co_await pending.timer.async_wait(asTuple);
-    std::optional<FeedReply> reply = std::move(pending.reply);
-    m_pendingRequests.erase(id);
+    const TimePoint now = m_clock.now();
+    m_lastStoreContactAt = std::max(m_lastStoreContactAt, now - reply.storeContactAge);
+    if (!m_members.isSeatHolder(m_members.self())) {
+        m_members.recordSeatHolders(reply.overdue, now);
+    }
+    for (const auto &[kind, changes] : reply.changes) {
+        const auto watch = m_watches.find(kind);
+        if (watch == m_watches.end()) {
+            continue;
+        }
+        if (changes) {
+            watch->second.failures.recordChanges();
+            m_logs[kind].add(*changes);
+        } else {
+            watch->second.failures.recordNotCovered();
+        }
+    }
+}
+
+net::awaitable<std::optional<FeedReply>> FeedStore::requestChanges(const Member &source)
+{
+    FeedRequest request{.id = ++m_lastRequestId, .isLeaving = m_members.isLeaving()};
+    for (const auto &[kind, watch] : m_watches) {
+        request.cursors[kind] = m_logs[kind].endRevision().value_or(0);
+    }
+    const auto entry = m_pendingRequests.emplace(request.id, PendingRequest{.timer = net::steady_timer(m_context, replyTimeout)}).first;
+    m_link.send(source.registration.peers, request);
+    co_await entry->second.timer.async_wait(asTuple);
+    std::optional<FeedReply> reply = std::move(entry->second.reply);
+    m_pendingRequests.erase(entry);
     co_return reply;
 }
 
 FeedReply FeedStore::answerRequest(const FeedRequest &request) const
 {
-    const auto it = m_logs.find(request.kind);
-    return {.id = request.id, .changes = it == m_logs.end() ? std::nullopt : it->second.since(request.since)};
+    const TimePoint now = m_clock.now();
+    FeedReply reply{.id = request.id, .storeContactAge = now - m_lastStoreContactAt, .overdue = m_members.overdueSeatHolders(now)};
+    for (const auto &[kind, since] : request.cursors) {
+        const auto log = m_logs.find(kind);
+        reply.changes[kind] = log == m_logs.end() ? std::nullopt : log->second.since(since);
+    }
+    return reply;
 }
 
 void FeedStore::handleReply(const FeedReply &reply)
--- a/packages/fleet/src/feed.h
+++ b/packages/fleet/src/feed.h
@@ -1,6 +1,7 @@
 /// @file
-/// Distributes the store's changes within the fleet: a few seat holders watch the store and log its changes, the other Vms
-/// poll them. The number of watch calls, which the platform charges for, thus doesn't grow with the fleet.
+/// Distributes the store's changes within the fleet as a tree of bounded degree: a few seat holders watch the store, the other seat
+/// holders poll them, and the Vms without a seat poll the seat holders. Each Vm logs the changes it receives and passes them on. The
+/// number of calls to the store, which the platform charges for, thus doesn't grow with the fleet.
 #pragma once
 
 #include "link.h"
@@ -9,18 +10,23 @@
 
 namespace Pollenspoke {
 
-/// Recent changes of one kind of documents, recorded by a Vm that watches the store.
+/// Recent changes of one kind of documents.
 class ChangeLog
 {
 public:
-    static constexpr std::size_t maxChanges = 1000;     // the oldest changes are dropped
-    static constexpr std::size_t maxReplyBytes = 32768; // documents in one reply, which must fit into one datagram
+    static constexpr std::size_t maxChanges = 2000;       // the oldest changes are dropped
+    static constexpr std::size_t maxReplyBytes = 2000000; // documents in one reply; twice the store's largest document
 
     void restartAt(std::uint64_t revision); // empties the log; it covers changes after this revision
     void add(const DocumentChanges &changes);
-    void invalidate() { m_endRevision.reset(); }                        // this Vm no longer watches the store
+
+    /// Continues the log with a list, which may be all that is left after the store discarded its history: logs the differences
+    /// from the documents known so far. Ignores a list that is older than the log.
+    void addList(const DocumentList &list);
+
     std::optional<DocumentChanges> since(std::uint64_t revision) const; // empty: not covered, or too large for one reply
     bool covers(std::uint64_t revision) const { return m_endRevision && revision >= m_startRevision && revision <= *m_endRevision; }
+    std::optional<std::uint64_t> endRevision() const { return m_endRevision; }
 
 private:
     struct Entry
@@ -29,12 +35,15 @@
         std::size_t bytes = 0;
     };
 
-    std::optional<std::uint64_t> m_endRevision; // the log holds each change after m_startRevision up to this one; empty: invalid
+    void append(const DocumentChange &change);
+
+    std::optional<std::uint64_t> m_endRevision; // the log holds each change after m_startRevision up to this one; empty: not started
     std::uint64_t m_startRevision = 0;
-    std::deque<Entry> m_changes;
+    std::deque<Entry> m_changes;                              // by revision
+    std::map<std::string, std::uint64_t> m_documentRevisions; // of the documents that exist at the end of the log
 };
 
-/// Weighted count of consecutive failed requests to feed sources. At the limit the store is watched directly.
+/// Weighted count of consecutive failed requests to feed sources. At the limit the store is asked directly.
 class FeedFailures
 {
 public:
@@ -49,11 +58,15 @@
     int m_penalty = 0;
 };
 
-/// Decorator of the store that watches it directly if this Vm is a store watcher, and otherwise polls a store watcher for
-/// changes. Falls back to the store where no watcher answers. All other calls go to the store.
+/// Decorator of the store that watches it directly if this Vm is a store watcher, and otherwise polls other Vms for changes. Falls
+/// back to the store where none answers. All other calls go to the store.
 class FeedStore final : public DocumentStore
 {
 public:
+    /// Without a sign of the store for this long, it counts as unreachable. Longer than a watch without changes plus two polls, and
+    /// shorter than the time after which a target's registration expires.
+    static constexpr Duration storeSilenceLimit = std::chrono::seconds(3);
+
     /// All arguments must outlive this object. Not thread-safe: used on one event loop only.
     FeedStore(boost::asio::io_context &context, DocumentStore &store, Link &link, Members &members, const Clock &clock, Metrics &metrics);
 
@@ -63,20 +76,33 @@
     Call<StoredDocument> replace(std::string kind, std::string name, JsonValue spec, std::uint64_t revision) override;
     Call<void> remove(std::string kind, std::string name, std::uint64_t revision) override;
 
+    void startPolling();
     FeedReply answerRequest(const FeedRequest &request) const;
     void handleReply(const FeedReply &reply);
 
+    TimePoint lastStoreContactAt() const { return m_lastStoreContactAt; } // when the store last answered this Vm or one of its sources
+
 private:
     struct PendingRequest
     {
         boost::asio::steady_timer timer;
         std::optional<FeedReply> reply;
     };
+    struct Watch // one per followed kind
+    {
+        FeedFailures failures;
+        boost::asio::steady_timer *timer = nullptr; // of the waiting watch(); cancelled to wake it up
+    };
 
     bool isStoreWatcher() const;
-    const Member *chooseSource(std::uint64_t since);
+    bool isInStartupGrace() const;
+    const Member *chooseSource();
     Call<DocumentChanges> watchStore(std::string kind, std::uint64_t since, Duration wait);
-    boost::asio::awaitable<std::optional<FeedReply>> requestChanges(const Member &source, std::string kind, std::uint64_t since);
+    boost::asio::awaitable<void> poll();
+    boost::asio::awaitable<void> pollOnce();
+    void applyReply(const FeedReply &reply);
+    boost::asio::awaitable<std::optional<FeedReply>> requestChanges(const Member &source);
+    void wake(Watch &watch);
 
     boost::asio::io_context &m_context;
     DocumentStore &m_store;
@@ -85,11 +111,13 @@
     const Clock &m_clock;
     Metrics &m_metrics;
     std::map<std::string, ChangeLog> m_logs; // by kind
+    std::map<std::string, Watch> m_watches;  // by kind
     std::map<std::uint64_t, PendingRequest> m_pendingRequests;
     std::uint64_t m_lastRequestId = 0;
     std::uint64_t m_requestCount = 0;
     Generator m_generator;
     TimePoint m_startedAt;
+    TimePoint m_lastStoreContactAt;
 };
 
 } // namespace Pollenspoke
--- a/packages/fleet/src/fleet_vm.cpp
+++ b/packages/fleet/src/fleet_vm.cpp
@@ -2,6 +2,7 @@
 #include "feed.h"
 #include "fleet_admission.h"
 #include "kind_follower.h"
+#include "target_reports.h"
 
 #include <thread>
 
@@ -14,7 +15,8 @@
 constexpr auto asTuple = net::as_tuple(net::use_awaitable);
 constexpr auto registerRetryDelay = std::chrono::seconds(1);
 constexpr auto joinDelay = std::chrono::seconds(1);                  // Vms of a new fleet start within 0.3 s of each other
-constexpr auto rosterCheckInterval = std::chrono::milliseconds(100); // longest delay of removing an expired target
+constexpr auto rosterCheckInterval = std::chrono::milliseconds(100); // longest delay of removing an expired target on a seat holder
+constexpr auto idleCheckInterval = std::chrono::milliseconds(500);   // the same on a Vm without a seat
 constexpr auto isolationTimeout = std::chrono::seconds(30);          // a Vm without reports from others for this long stops using its seat
 constexpr double maxMillicores = 1e6;                                // plausibility limit for a registration
 constexpr auto deregistrationTimeout = std::chrono::seconds(90);     // a Vm without reports for this long is removed from the store
@@ -29,39 +31,6 @@
     return spec;
 }
 
-const TargetObservation *findTargetReport(const TargetUpdates &reports, const ServiceName &service, const TargetName &target)
-{
-    const auto found = reports.find(service);
-    if (found == reports.end()) {
-        return nullptr;
-    }
-    const auto it
-        = std::find_if(found->second.begin(), found->second.end(), [&target](const TargetObservation &it) { return it.target == target; });
-    return it == found->second.end() ? nullptr : &*it;
-}
-
-// Returns the targets whose in-flight or failure counts changed. Targets missing from the current reports count as zero.
-TargetUpdates changedReports(const TargetUpdates &previous, const TargetUpdates &current)
-{
-    TargetUpdates changes;
-    for (const auto &[service, targets] : current) {
-        for (const TargetObservation &it : targets) {
-            const TargetObservation *previousReport = findTargetReport(previous, service, it.target);
-            if (previousReport == nullptr || previousReport->inFlight != it.inFlight || previousReport->failures != it.failures) {
-                changes[service].push_back(it);
-            }
-        }
-    }
-    for (const auto &[service, targets] : previous) {
-        for (const TargetObservation &it : targets) {
-            if ((it.inFlight != 0 || it.failures != 0) && findTargetReport(current, service, it.target) == nullptr) {
-                changes[service].push_back(TargetObservation{.target = it.target});
-            }
-        }
-    }
-    return changes;
-}
-
 std::optional<VmRegistration> decodeRegistration(const JsonValue &spec)
 {
     const auto text = [&spec](const char *name) {
@@ -104,10 +73,12 @@
 
     Result<void> start();
     bool stop();
+    bool holdsSeat() const { return members.isSeatHolder(options.proxy.vm); }
     bool isReady() const { return hasSnapshot && !isLeaving; }
     Page answerPage(const PageRequest &request);
     void startFollowing();
     net::awaitable<void> joinFleet();
+    std::optional<StoredDocument> findRegistration(const DocumentList &list) const; // of this Vm
     void applyRegistrationList(const DocumentList &list);
     void applyRegistrationChange(const DocumentChange &change);
     VmRegistration ownRegistration() const;
@@ -147,7 +118,7 @@
     TimePoint lastPeerReportAt;
     std::optional<TimePoint> storeReachableSince; // empty: unreachable, or not reached yet
     TimePoint lastOutageStart;
-    TargetUpdates lastReports;
+    TargetReportSchedule reportSchedule;
     std::atomic<bool> hasSnapshot{false};
     std::atomic<bool> isLeaving{false};
     std::thread thread;
@@ -182,6 +153,7 @@
 void FleetVm::Impl::recordStoreCall(bool succeeded, const std::string &error)
 {
     const TimePoint now = clock.now();
+    members.setStoreAccess(succeeded);
     if (succeeded) {
         if (const std::optional<TimePoint> lostAt = configuration.roster().outageStartedAt()) {
             lastOutageStart = *lostAt;
@@ -272,32 +244,46 @@
     net::co_spawn(context, joinFleet(), net::detached);
 }
 
-// Registers before listing: if the name already exists, this is a restart and a stale list is sufficient. Vms of a new fleet
-// register at about the same time, so a new Vm waits for the others before it lists them.
+// A restarted Vm finds its registration in the first list, which may be stale and costs little. Vms of a new fleet register at about
+// the same time, so a new Vm waits for the others before it lists them.
 net::awaitable<void> FleetVm::Impl::joinFleet()
 {
     isRegistering = true;
-    const JsonValue spec = encodeRegistration(ownRegistration());
-    const Result<StoredDocument> created = co_await feed.create(format.vmsKind(), options.proxy.vm.value, spec);
-    FollowOptions followOptions{.kind = format.vmsKind(), .watchWait = options.watchWait, .watchPause = options.statusPeriod};
-    if (created) {
-        followOptions.firstListConsistency = ReadConsistency::Current;
-        net::steady_timer timer(context, joinDelay);
-        co_await timer.async_wait(net::use_awaitable);
-    } else if (created.error().code != ErrorCode::VersionConflict) {
-        recordStoreCall(false, describe(created.error())); // applyRegistrationList() registers again if needed
+    const Result<DocumentList> first = co_await feed.list(format.vmsKind(), ReadConsistency::MayBeStale);
+    if (!first) {
+        recordStoreCall(false, describe(first.error())); // applyRegistrationList() registers
+    } else if (!findRegistration(*first)) {
+        const JsonValue spec = encodeRegistration(ownRegistration());
+        const Result<StoredDocument> created = co_await feed.create(format.vmsKind(), options.proxy.vm.value, spec);
+        if (created) {
+            net::steady_timer timer(context, joinDelay);
+            co_await timer.async_wait(net::use_awaitable);
+        } else if (created.error().code != ErrorCode::VersionConflict) {
+            recordStoreCall(false, describe(created.error())); // applyRegistrationList() registers again if needed
+        }
     }
     isRegistering = false;
+    const FollowOptions followOptions{.kind = format.vmsKind(), .watchWait = options.watchWait, .watchPause = options.statusPeriod};
     co_await followKind(feed, followOptions, vmsHandler);
 }
 
+std::optional<StoredDocument> FleetVm::Impl::findRegistration(const DocumentList &list) const
+{
+    const auto it = std::find_if(
+        list.items.begin(), list.items.end(), [this](const StoredDocument &item) { return item.name == options.proxy.vm.value; });
+    return it == list.items.end() ? std::nullopt : std::optional(*it);
+}
+
 // Targets whose registrations expired during a store outage are removed by time alone: the store sends no event for them.
 net::awaitable<void> FleetVm::Impl::applyRosterExpiry()
 {
     net::steady_timer timer(context);
     for (;;) {
-        timer.expires_after(rosterCheckInterval);
+        timer.expires_after(holdsSeat() ? rosterCheckInterval : idleCheckInterval);
         co_await timer.async_wait(net::use_awaitable);
+        if (clock.now() - feed.lastStoreContactAt() > FeedStore::storeSilenceLimit) {
+            configuration.roster().noteStoreUnreachable(feed.lastStoreContactAt());
+        }
         const std::optional<TimePoint> next = configuration.roster().nextRemoval();
         if (next && *next <= clock.now()) {
             publishConfiguration();
@@ -312,13 +298,10 @@
 void FleetVm::Impl::applyRegistrationList(const DocumentList &list)
 {
     std::vector<std::pair<RegisteredVm, VmRegistration>> vms;
-    std::optional<StoredDocument> own;
+    std::optional<StoredDocument> own = findRegistration(list);
     registrationRevisions.clear();
     for (const StoredDocument &it : list.items) {
         const VmName name{it.name};
-        if (members.isSelf(name)) {
-            own = it;
-        }
         registrationRevisions[name] = it.revision;
         if (const auto registration = decodeRegistration(it.spec)) {
             vms.emplace_back(RegisteredVm{name, registration->failureDomain, it.created, registration->millicores}, *registration);
@@ -362,13 +345,12 @@
 {
     const std::vector<VmName> holders = members.seatHolders();
     admission.setSeats(options.proxy.vm, holders);
-    const bool holdsSeat = std::find(holders.begin(), holders.end(), options.proxy.vm) != holders.end();
-    proxy.setRetryShare(holdsSeat ? 1.0 / static_cast<double>(holders.size()) : 0);
+    proxy.setRetryShare(holdsSeat() ? 1.0 / static_cast<double>(holders.size()) : 0);
     proxy.setVmCount(static_cast<std::uint32_t>(std::max<std::size_t>(holders.size(), 1)));
     logEvent(Event::SeatsAssigned,
              {{"vms", std::to_string(registrationRevisions.size())},
               {"holders", std::to_string(holders.size())},
-              {"own", holdsSeat ? "yes" : "no"}});
+              {"own", holdsSeat() ? "yes" : "no"}});
     sendReport(members.reportReceivers(), std::nullopt); // announces a restarted Vm at once instead of after a full status period
 }
 
@@ -394,8 +376,8 @@
     isRegistering = false;
 }
 
-// The first live seat holder removes the registrations of Vms that have sent no report for a long time, provided that at least
-// half of the seat holders are live. An isolated Vm doesn't use its seat until it receives reports again.
+// Removes the registrations of Vms that have been silent for a long time, provided that at least half of the seat holders are
+// live. An isolated Vm doesn't use its seat until it receives reports again.
 net::awaitable<void> FleetVm::Impl::deregisterLostVms()
 {
     net::steady_timer timer(context);
@@ -403,28 +385,20 @@
         timer.expires_after(options.statusPeriod);
         co_await timer.async_wait(net::use_awaitable);
         const TimePoint now = clock.now();
-        const std::vector<const Member *> others = members.others();
-        for (const Member *it : others) {
-            lastPeerReportAt = std::max(lastPeerReportAt, it->lastReportAt);
+        for (const VmName &it : members.seatHolders()) {
+            lastPeerReportAt = members.isSelf(it) ? lastPeerReportAt : std::max(lastPeerReportAt, members.find(it)->lastReportAt);
         }
-        const bool isIsolated = !others.empty() && now - lastPeerReportAt > isolationTimeout;
+        const bool isIsolated = members.seatHolders().size() > 1 && now - lastPeerReportAt > isolationTimeout;
         admission.setSeats(options.proxy.vm, isIsolated ? std::vector<VmName>() : members.seatHolders());
-        if (isIsolated) {
+        if (isIsolated || members.liveSeatHolders(now).size() * 2 < members.seatHolders().size()) {
             continue;
         }
-        const std::vector<VmName> live = members.liveSeatHolders(now);
-        if (live.empty() || live.front() != options.proxy.vm || live.size() * 2 < members.seatHolders().size()) {
-            continue;
-        }
-        for (const Member *it : others) {
-            if (now - it->lastReportAt > deregistrationTimeout) {
-                const std::string name = it->name.value;
-                logEvent(Event::VmForgotten, {{"vm", name}});
-                const auto removed = co_await feed.remove(format.vmsKind(), name, registrationRevisions[it->name]);
-                if (!removed) {
-                    logEvent(Event::StoreUnavailable, {{"call", "remove"}, {"error", describe(removed.error())}}, LogLevel::Warning);
-                }
-                break; // the co_await above may have invalidated `others`
+        for (const VmName &it : members.lostVms(deregistrationTimeout, now)) {
+            logEvent(Event::VmForgotten, {{"vm", it.value}});
+            const auto removed = co_await feed.remove(format.vmsKind(), it.value, registrationRevisions[it]);
+            if (!removed) {
+                logEvent(Event::StoreUnavailable, {{"call", "remove"}, {"error", describe(removed.error())}}, LogLevel::Warning);
+                break; // the next period tries again
             }
         }
     }
@@ -461,29 +435,33 @@
 }
 
 // Sends seat holders the targets that changed since the last report, and a full report once per status period, before the
-// receivers discard the earlier ones.
+// receivers discard the earlier ones. A Vm without a seat, which rarely has requests, sends full reports only.
 net::awaitable<void> FleetVm::Impl::reportTargets()
 {
     net::steady_timer timer(context);
     TimePoint lastFullReportAt;
     for (;;) {
-        timer.expires_after(options.targetReportPeriod);
+        timer.expires_after(holdsSeat() ? options.targetReportPeriod : options.statusPeriod);
         co_await timer.async_wait(net::use_awaitable);
-        TargetUpdates reports = proxy.targetUpdates();
-        const bool isFullReport = clock.now() - lastFullReportAt >= options.statusPeriod;
-        TargetUpdates toSend = isFullReport ? reports : changedReports(lastReports, reports);
-        lastReports = std::move(reports);
-        if (toSend.empty()) {
-            continue;
-        }
-        lastFullReportAt = isFullReport ? clock.now() : lastFullReportAt;
-        std::vector<const Member *> receivers;
-        for (const VmName &it : members.liveSeatHolders(clock.now())) {
+        const TimePoint now = clock.now();
+        const bool isFullReport = now - lastFullReportAt >= options.statusPeriod;
+        std::vector<const Member *> near;
+        std::vector<const Member *> distant;
+        for (const VmName &it : members.liveSeatHolders(now)) {
             if (!members.isSelf(it)) {
-                receivers.push_back(members.find(it));
+                const Member *member = members.find(it);
+                (members.isInOwnDomain(*member) ? near : distant).push_back(member);
             }
         }
-        sendReport(receivers, std::move(toSend), isFullReport);
+        TargetReportSchedule::Reports reports
+            = reportSchedule.next(proxy.targetUpdates(), {.near = near.size(), .distant = distant.size()}, isFullReport);
+        lastFullReportAt = isFullReport ? now : lastFullReportAt;
+        if (!reports.near.empty()) {
+            sendReport(near, std::move(reports.near), isFullReport);
+        }
+        if (!reports.distant.empty()) {
+            sendReport(distant, std::move(reports.distant), isFullReport);
+        }
     }
 }
 
@@ -501,6 +479,7 @@
     } else if (const auto *tokenReply = std::get_if<TokenReply>(&message)) {
         admission.handleReply(*tokenReply);
     } else if (const auto *feedRequest = std::get_if<FeedRequest>(&message)) {
+        members.recordContact(sender, feedRequest->isLeaving, clock.now());
         link.send(from, encodeDatagram(options.proxy.vm, feed.answerRequest(*feedRequest)));
     } else if (const auto *feedReply = std::get_if<FeedReply>(&message)) {
         feed.handleReply(*feedReply);
@@ -527,6 +506,7 @@
     }
     lastPeerReportAt = clock.now();
     startFollowing();
+    feed.startPolling();
     net::co_spawn(context, applyRosterExpiry(), net::detached);
     net::co_spawn(context, reportStatus(), net::detached);
     net::co_spawn(context, reportTargets(), net::detached);
--- a/packages/fleet/src/link.cpp
+++ b/packages/fleet/src/link.cpp
@@ -2,6 +2,10 @@
 
 #include "fleet.pb.h"
 
+#include <algorithm>
+#include <iterator>
+#include <random>
+
 namespace Pollenspoke {
 
 namespace {
@@ -14,6 +18,7 @@
 
 constexpr auto asTuple = net::as_tuple(net::use_awaitable);
 constexpr auto receiveRetryDelay = milliseconds(10); // after a socket error, such as an ICMP port unreachable
+constexpr std::size_t maxPartBytes = 16384;          // of a fragment; longer datagrams are split
 
 std::uint32_t toMs(Duration duration)
 {
@@ -63,21 +68,20 @@
 {
     fleet::FeedAsk &ask = *datagram.mutable_feed_ask();
     ask.set_id(request.id);
-    ask.set_kind(request.kind);
-    ask.set_since(request.since);
+    ask.set_is_leaving(request.isLeaving);
+    for (const auto &[kind, since] : request.cursors) {
+        fleet::FeedCursor &cursor = *ask.add_cursors();
+        cursor.set_kind(kind);
+        cursor.set_since(since);
+    }
 }
 
-void encode(fleet::Datagram &datagram, const FeedReply &reply)
+void encode(fleet::FeedKind &feedKind, const DocumentChanges &changes)
 {
-    fleet::FeedAnswer &answer = *datagram.mutable_feed_answer();
-    answer.set_id(reply.id);
-    answer.set_is_known(reply.changes.has_value());
-    if (!reply.changes) {
-        return;
-    }
-    answer.set_revision(reply.changes->revision);
-    for (const DocumentChange &it : reply.changes->events) {
-        fleet::FeedChange &change = *answer.add_changes();
+    feedKind.set_is_covered(true);
+    feedKind.set_revision(changes.revision);
+    for (const DocumentChange &it : changes.events) {
+        fleet::FeedChange &change = *feedKind.add_changes();
         change.set_is_deleted(it.isDeleted);
         change.set_name(it.document.name);
         change.set_revision(it.document.revision);
@@ -86,14 +90,43 @@
     }
 }
 
+void encode(fleet::Datagram &datagram, const FeedReply &reply)
+{
+    fleet::FeedAnswer &answer = *datagram.mutable_feed_answer();
+    answer.set_id(reply.id);
+    answer.set_store_contact_age_ms(toMs(reply.storeContactAge));
+    for (const auto &[kind, changes] : reply.changes) {
+        fleet::FeedKind &feedKind = *answer.add_kinds();
+        feedKind.set_kind(kind);
+        if (changes) {
+            encode(feedKind, *changes);
+        }
+    }
+    for (const SeatHolderStatus &it : reply.overdue) {
+        fleet::SeatHolderStatus &status = *answer.add_overdue();
+        status.set_vm(it.vm.value);
+        status.set_report_age_ms(toMs(it.reportAge));
+        status.set_is_leaving(it.isLeaving);
+    }
+}
+
+FeedRequest decodeFeedRequest(const fleet::FeedAsk &ask)
+{
+    FeedRequest request{.id = ask.id(), .isLeaving = ask.is_leaving()};
+    for (const fleet::FeedCursor &it : ask.cursors()) {
+        request.cursors[it.kind()] = it.since();
+    }
+    return request;
+}
+
 // Returns nothing if a document can't be parsed; the receiver then uses the store.
-std::optional<DocumentChanges> decodeChanges(const fleet::FeedAnswer &answer)
+std::optional<DocumentChanges> decodeChanges(const fleet::FeedKind &feedKind)
 {
-    if (!answer.is_known()) {
+    if (!feedKind.is_covered()) {
         return std::nullopt;
     }
-    DocumentChanges changes{.revision = answer.revision()};
-    for (const fleet::FeedChange &it : answer.changes()) {
+    DocumentChanges changes{.revision = feedKind.revision()};
+    for (const fleet::FeedChange &it : feedKind.changes()) {
         StoredDocument document{.name = it.name(), .revision = it.revision(), .created = it.created()};
         std::string parseError;
         if (!parseJsonText(it.spec(), document.spec, parseError)) {
@@ -104,6 +137,18 @@
     return changes;
 }
 
+FeedReply decodeFeedReply(const fleet::FeedAnswer &answer)
+{
+    FeedReply reply{.id = answer.id(), .storeContactAge = milliseconds(answer.store_contact_age_ms())};
+    for (const fleet::FeedKind &it : answer.kinds()) {
+        reply.changes[it.kind()] = decodeChanges(it);
+    }
+    for (const fleet::SeatHolderStatus &it : answer.overdue()) {
+        reply.overdue.push_back({.vm = {it.vm()}, .reportAge = milliseconds(it.report_age_ms()), .isLeaving = it.is_leaving()});
+    }
+    return reply;
+}
+
 StatusReport decodeStatus(const fleet::Status &status)
 {
     StatusReport report{.isLeaving = status.is_leaving(),
@@ -154,18 +199,76 @@
         return std::pair(sender, LinkMessage(TokenRequest{datagram.token_ask().id(), {datagram.token_ask().account()}}));
     case fleet::Datagram::kTokenAnswer:
         return std::pair(sender, LinkMessage(TokenReply{datagram.token_answer().id(), datagram.token_answer().is_granted()}));
-    case fleet::Datagram::kFeedAsk: {
-        const fleet::FeedAsk &ask = datagram.feed_ask();
-        return std::pair(sender, LinkMessage(FeedRequest{ask.id(), ask.kind(), ask.since()}));
-    }
+    case fleet::Datagram::kFeedAsk:
+        return std::pair(sender, LinkMessage(decodeFeedRequest(datagram.feed_ask())));
     case fleet::Datagram::kFeedAnswer:
-        return std::pair(sender, LinkMessage(FeedReply{datagram.feed_answer().id(), decodeChanges(datagram.feed_answer())}));
+        return std::pair(sender, LinkMessage(decodeFeedReply(datagram.feed_answer())));
+    case fleet::Datagram::kFragment:
     case fleet::Datagram::BODY_NOT_SET:
         break;
     }
     return std::nullopt;
 }
 
+std::vector<std::string> splitDatagram(const VmName &sender, std::uint64_t id, std::string_view bytes)
+{
+    std::vector<std::string> fragments;
+    const std::size_t count = (bytes.size() + maxPartBytes - 1) / maxPartBytes;
+    for (std::size_t i = 0; i < count; ++i) {
+        fleet::Datagram datagram;
+        datagram.set_sender(sender.value);
+        fleet::Fragment &fragment = *datagram.mutable_fragment();
+        fragment.set_id(id);
+        fragment.set_index(static_cast<std::uint32_t>(i));
+        fragment.set_count(static_cast<std::uint32_t>(count));
+        fragment.set_part(std::string(bytes.substr(i * maxPartBytes, maxPartBytes)));
+        fragments.push_back(datagram.SerializeAsString());
+    }
+    return fragments;
+}
+
+std::optional<std::pair<VmName, Fragment>> decodeFragment(std::string_view bytes)
+{
+    fleet::Datagram datagram;
+    if (!datagram.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())) || !datagram.has_fragment()) {
+        return std::nullopt;
+    }
+    fleet::Fragment &it = *datagram.mutable_fragment();
+    return std::pair(VmName{datagram.sender()},
+                     Fragment{.id = it.id(), .index = it.index(), .count = it.count(), .part = std::move(*it.mutable_part())});
+}
+
+std::optional<std::string> Reassembler::add(const VmName &sender, Fragment fragment)
+{
+    if (fragment.count == 0 || fragment.count > maxFragments || fragment.index >= fragment.count || fragment.part.empty()) {
+        return std::nullopt;
+    }
+    auto it = std::find_if(m_incomplete.begin(), m_incomplete.end(), [&](const Incomplete &incomplete) {
+        return incomplete.sender == sender && incomplete.id == fragment.id;
+    });
+    if (it == m_incomplete.end()) {
+        if (m_incomplete.size() >= maxIncomplete) {
+            m_incomplete.pop_front();
+        }
+        m_incomplete.push_back(
+            {.sender = sender, .id = fragment.id, .parts = std::vector<std::string>(fragment.count), .missing = fragment.count});
+        it = std::prev(m_incomplete.end());
+    }
+    if (fragment.index >= it->parts.size() || !it->parts[fragment.index].empty()) {
+        return std::nullopt; // a duplicate, or of a different datagram with this id
+    }
+    it->parts[fragment.index] = std::move(fragment.part);
+    if (--it->missing > 0) {
+        return std::nullopt;
+    }
+    std::string bytes;
+    for (const std::string &part : it->parts) {
+        bytes += part;
+    }
+    m_incomplete.erase(it);
+    return bytes;
+}
+
 Udp::endpoint toDatagramEndpoint(const Address &address)
 {
     SystemError ec;
@@ -179,6 +282,7 @@
     , m_address(std::move(address))
     , m_handler(std::move(handler))
     , m_socket(context)
+    , m_lastLongDatagramId(std::random_device{}())
 {
 }
 
@@ -213,7 +317,19 @@
             co_await timer.async_wait(asTuple);
             continue;
         }
-        if (const auto decoded = decodeDatagram({m_buffer.data(), n})) {
+        handleDatagram({m_buffer.data(), n}, from);
+    }
+}
+
+void Link::handleDatagram(std::string_view bytes, const Udp::endpoint &from)
+{
+    if (const auto decoded = decodeDatagram(bytes)) {
+        m_handler(decoded->first, decoded->second, from);
+        return;
+    }
+    if (auto fragment = decodeFragment(bytes)) {
+        const std::optional<std::string> joined = m_reassembler.add(fragment->first, std::move(fragment->second));
+        if (const auto decoded = joined ? decodeDatagram(*joined) : std::nullopt) {
             m_handler(decoded->first, decoded->second, from);
         }
     }
@@ -228,7 +344,13 @@
 void Link::send(const Udp::endpoint &to, std::string_view bytes)
 {
     SystemError ignored;
-    m_socket.send_to(net::buffer(bytes.data(), bytes.size()), to, 0, ignored);
+    if (bytes.size() <= maxPartBytes) {
+        m_socket.send_to(net::buffer(bytes.data(), bytes.size()), to, 0, ignored);
+        return;
+    }
+    for (const std::string &it : splitDatagram(m_self, ++m_lastLongDatagramId, bytes)) {
+        m_socket.send_to(net::buffer(it), to, 0, ignored);
+    }
 }
 
 } // namespace Pollenspoke
--- a/packages/fleet/src/link.h
+++ b/packages/fleet/src/link.h
@@ -6,6 +6,7 @@
 
 #include <array>
 #include <boost/asio.hpp>
+#include <deque>
 
 namespace Pollenspoke {
 
@@ -32,23 +33,59 @@
     bool isGranted = false;
 };
 
-/// Requests the changes of one kind of documents from a store watcher.
+/// Requests the changes of all kinds of documents that a Vm follows. To the receiver it is also a sign of life.
 struct FeedRequest
 {
     std::uint64_t id = 0;
-    std::string kind;
-    std::uint64_t since = 0; // store revision
+    bool isLeaving = false;
+    std::map<std::string, std::uint64_t> cursors; // kind -> store revision up to which the sender has the changes
 };
+
 struct FeedReply
 {
     std::uint64_t id = 0;
-    std::optional<DocumentChanges> changes; // empty: the sender's log doesn't cover them; use the store
+    std::map<std::string, std::optional<DocumentChanges>> changes; // by kind; empty: the sender's log doesn't cover them
+    Duration storeContactAge{};                                    // since the store answered the sender or one of its sources
+    std::vector<SeatHolderStatus> overdue;                         // the sender received recent reports from all other seat holders
 };
 
 using LinkMessage = std::variant<StatusReport, TokenRequest, TokenReply, FeedRequest, FeedReply>;
 
 std::string encodeDatagram(const VmName &sender, const LinkMessage &message);
-std::optional<std::pair<VmName, LinkMessage>> decodeDatagram(std::string_view bytes); // empty: malformed
+std::optional<std::pair<VmName, LinkMessage>> decodeDatagram(std::string_view bytes); // empty: malformed, or a fragment
+
+/// A part of a datagram that is too long to be sent whole.
+struct Fragment
+{
+    std::uint64_t id = 0; // of the datagram; unique for the sender
+    std::uint32_t index = 0;
+    std::uint32_t count = 0;
+    std::string part;
+};
+
+std::vector<std::string> splitDatagram(const VmName &sender, std::uint64_t id, std::string_view bytes); // encoded fragments
+std::optional<std::pair<VmName, Fragment>> decodeFragment(std::string_view bytes);                      // empty: not a fragment
+
+/// Joins the fragments of datagrams. Holds a bounded number of incomplete ones; the oldest is dropped first.
+class Reassembler
+{
+public:
+    static constexpr std::uint32_t maxFragments = 256; // of one datagram: 4 MB
+    static constexpr std::size_t maxIncomplete = 8;
+
+    std::optional<std::string> add(const VmName &sender, Fragment fragment); // the datagram, once it is complete
+
+private:
+    struct Incomplete
+    {
+        VmName sender;
+        std::uint64_t id = 0;
+        std::vector<std::string> parts;
+        std::uint32_t missing = 0;
+    };
+
+    std::deque<Incomplete> m_incomplete; // oldest first
+};
 
 /// UDP socket that exchanges messages with other Vms. Delivery is best-effort.
 class Link
@@ -64,6 +101,7 @@
 
 private:
     boost::asio::awaitable<void> receive();
+    void handleDatagram(std::string_view bytes, const boost::asio::ip::udp::endpoint &from);
 
     boost::asio::io_context &m_context;
     VmName m_self;
@@ -71,6 +109,8 @@
     Handler m_handler;
     boost::asio::ip::udp::socket m_socket;
     std::array<char, 65536> m_buffer{};
+    std::uint64_t m_lastLongDatagramId; // starts at random: a restarted Vm must not continue the datagrams of its predecessor
+    Reassembler m_reassembler;
 };
 
 boost::asio::ip::udp::endpoint toDatagramEndpoint(const Address &address);
--- a/packages/fleet/src/members.cpp
+++ b/packages/fleet/src/members.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <set>
 
 namespace Pollenspoke {
 
@@ -14,9 +15,12 @@
 
 void Members::replaceAll(const std::vector<std::pair<RegisteredVm, VmRegistration>> &vms, TimePoint now)
 {
-    std::erase_if(m_members, [&vms](const auto &member) {
-        return std::none_of(vms.begin(), vms.end(), [&member](const auto &it) { return it.first.name == member.first; });
-    });
+    std::set<VmName> listed;
+    for (const auto &[vm, registration] : vms) {
+        listed.insert(vm.name);
+    }
+    std::erase_if(m_members, [&listed](const auto &member) { return !listed.contains(member.first); });
+    m_seatHolders.reset();
     for (const auto &[vm, registration] : vms) {
         put(vm, registration, now);
     }
@@ -27,11 +31,13 @@
     Member &member = m_members.try_emplace(vm.name, Member{.name = vm.name, .lastReportAt = now}).first->second;
     member.registration = registration;
     member.registeredAt = vm.registeredAt;
+    m_seatHolders.reset();
 }
 
 void Members::remove(const VmName &vm)
 {
     m_members.erase(vm);
+    m_seatHolders.reset();
 }
 
 bool Members::hadStoreAccessSince(TimePoint since, TimePoint now) const
@@ -58,6 +64,45 @@
     }
 }
 
+void Members::recordContact(const VmName &vm, bool isLeaving, TimePoint now)
+{
+    const auto it = m_members.find(vm);
+    if (it != m_members.end()) {
+        it->second.lastReportAt = now;
+        it->second.isLeaving = isLeaving;
+    }
+}
+
+void Members::recordSeatHolders(const std::vector<SeatHolderStatus> &overdue, TimePoint now)
+{
+    for (const VmName &name : seatHolders()) {
+        const auto status = std::find_if(overdue.begin(), overdue.end(), [&name](const SeatHolderStatus &it) { return it.vm == name; });
+        const bool isOverdue = status != overdue.end();
+        const TimePoint reportAt = now - (isOverdue ? status->reportAge : usualReportAge);
+        Member &member = m_members.at(name);
+        if (isOverdue && status->isLeaving) {
+            member.isLeaving = true;
+        } else if (reportAt > member.lastReportAt) {
+            member.isLeaving = false;
+        }
+        member.lastReportAt = std::max(member.lastReportAt, reportAt);
+    }
+}
+
+std::vector<SeatHolderStatus> Members::overdueSeatHolders(TimePoint now) const
+{
+    std::vector<SeatHolderStatus> overdue;
+    for (const VmName &it : seatHolders()) {
+        const Member &member = m_members.at(it);
+        const bool isLeaving = isSelf(it) ? m_isLeaving : member.isLeaving;
+        const Duration age = isSelf(it) ? Duration(0) : now - member.lastReportAt;
+        if (isLeaving || age > freshReportAge) {
+            overdue.push_back({.vm = it, .reportAge = age, .isLeaving = isLeaving});
+        }
+    }
+    return overdue;
+}
+
 const Member *Members::find(const VmName &vm) const
 {
     const auto it = m_members.find(vm);
@@ -80,17 +125,26 @@
     return member.name == m_self ? !m_isLeaving : !member.isLeaving && now - member.lastReportAt < m_silenceLimit;
 }
 
-std::vector<VmName> Members::seatHolders() const
+const std::vector<VmName> &Members::seatHolders() const
 {
-    std::vector<RegisteredVm> vms;
-    vms.reserve(m_members.size());
-    for (const auto &[name, it] : m_members) {
-        vms.push_back({.name = name,
-                       .failureDomain = it.registration.failureDomain,
-                       .registeredAt = it.registeredAt,
-                       .millicores = it.registration.millicores});
+    if (!m_seatHolders) {
+        std::vector<RegisteredVm> vms;
+        vms.reserve(m_members.size());
+        for (const auto &[name, it] : m_members) {
+            vms.push_back({.name = name,
+                           .failureDomain = it.registration.failureDomain,
+                           .registeredAt = it.registeredAt,
+                           .millicores = it.registration.millicores});
+        }
+        m_seatHolders = assignSeats(std::move(vms));
     }
-    return assignSeats(std::move(vms));
+    return *m_seatHolders;
+}
+
+bool Members::isSeatHolder(const VmName &vm) const
+{
+    const std::vector<VmName> &holders = seatHolders();
+    return std::find(holders.begin(), holders.end(), vm) != holders.end();
 }
 
 std::vector<VmName> Members::liveSeatHolders(TimePoint now) const
@@ -130,34 +184,32 @@
 
 std::vector<const Member *> Members::reportReceivers() const
 {
-    const std::vector<VmName> holderNames = seatHolders();
-    const auto isHolder
-        = [&holderNames](const VmName &vm) { return std::find(holderNames.begin(), holderNames.end(), vm) != holderNames.end(); };
-    std::vector<const Member *> receivers = others();
-    if (!isHolder(m_self)) {
-        std::erase_if(receivers, [this, &isHolder](const Member *it) { return !isInOwnDomain(*it) && !isHolder(it->name); });
+    std::vector<const Member *> receivers;
+    for (const VmName &it : seatHolders()) {
+        receivers.push_back(&m_members.at(it));
     }
-    return receivers;
+    const bool holdsSeat = std::erase_if(receivers, [this](const Member *it) { return isSelf(it->name); }) > 0;
+    return holdsSeat ? receivers : std::vector<const Member *>();
 }
 
 std::vector<VmName> Members::watchers(TimePoint now) const
 {
     constexpr std::size_t maxWatchers = 4; // seat holders alternate over failure domains, so losing a domain leaves watchers in others
-    std::vector<VmName> selected;
-    for (const VmName &it : seatHolders()) {
+    std::vector<VmName> selected = liveSeatHolders(now);
+    std::stable_partition(selected.begin(), selected.end(), [this, now](const VmName &it) {
         const Member &member = m_members.at(it);
-        const bool hasStore = isSelf(it) || (member.storeReachableSince && now - member.lastReportAt < freshReportAge);
-        if (selected.size() < maxWatchers && hasStore && isLive(member, now)) {
-            selected.push_back(it);
-        }
-    }
+        return isSelf(it) ? m_hasStore : member.storeReachableSince && now - member.lastReportAt < freshReportAge;
+    });
+    selected.resize(std::min(selected.size(), maxWatchers));
     return selected;
 }
 
 std::vector<const Member *> Members::feedSources(std::uint64_t since, bool prefersOwnDomain, TimePoint now) const
 {
+    const bool holdsSeat = isSeatHolder(m_self);
+    std::vector<VmName> names = holdsSeat ? watchers(now) : liveSeatHolders(now);
     std::vector<const Member *> candidates;
-    for (const VmName &it : watchers(now)) {
+    for (const VmName &it : names.empty() ? seatHolders() : names) {
         if (!isSelf(it)) {
             candidates.push_back(find(it));
         }
@@ -167,7 +219,7 @@
         std::copy_if(candidates.begin(), candidates.end(), std::back_inserter(result), predicate);
         return result;
     };
-    std::vector<const Member *> newer = select([since](const Member *it) { return it->newestRevision > since; });
+    std::vector<const Member *> newer = select([holdsSeat, since](const Member *it) { return holdsSeat && it->newestRevision > since; });
     if (!newer.empty()) {
         return newer;
     }
@@ -175,4 +227,24 @@
     return prefersOwnDomain && !local.empty() ? local : candidates;
 }
 
+std::vector<VmName> Members::lostVms(Duration silence, TimePoint now)
+{
+    const std::vector<VmName> live = liveSeatHolders(now);
+    const auto localHolder = std::find_if(live.begin(), live.end(), [this](const VmName &it) { return isInOwnDomain(m_members.at(it)); });
+    const auto updateRole
+        = [now](std::optional<TimePoint> &since, bool hasRole) { since = hasRole ? std::optional(since.value_or(now)) : std::nullopt; };
+    updateRole(m_removesHoldersSince, !live.empty() && isSelf(live.front()));
+    updateRole(m_removesDomainSince, localHolder != live.end() && isSelf(*localHolder));
+    std::vector<VmName> lost;
+    for (const auto &[name, it] : m_members) {
+        const std::optional<TimePoint> since = isSeatHolder(name) ? m_removesHoldersSince
+            : isInOwnDomain(it)                                   ? m_removesDomainSince
+                                                                  : std::nullopt;
+        if (since && !isSelf(name) && now - std::max(it.lastReportAt, *since) > silence) {
+            lost.push_back(name);
+        }
+    }
+    return lost;
+}
+
 } // namespace Pollenspoke
--- a/packages/fleet/src/members.h
+++ b/packages/fleet/src/members.h
@@ -6,6 +6,14 @@
 
 namespace Pollenspoke {
 
+/// A seat holder that is silent or leaving, as seen by another Vm.
+struct SeatHolderStatus
+{
+    VmName vm;
+    Duration reportAge{};
+    bool isLeaving = false;
+};
+
 /// One registered Vm.
 struct Member
 {
@@ -24,6 +32,7 @@
 {
 public:
     static constexpr Duration freshReportAge = std::chrono::milliseconds(1500); // a Vm that reported this recently is expected to answer
+    static constexpr Duration usualReportAge = std::chrono::milliseconds(500);  // of reports that aren't overdue; half a status period
 
     Members(VmName self, FailureDomain domain, Duration silenceLimit);
 
@@ -31,38 +40,56 @@
     void put(const RegisteredVm &vm, const VmRegistration &registration, TimePoint now);
     void remove(const VmName &vm);
     void recordReport(const VmName &vm, bool isLeaving, Duration storeReachableFor, std::uint64_t newestRevision, TimePoint now);
+    void recordContact(const VmName &vm, bool isLeaving, TimePoint now); // a message other than a report
+
+    /// Records another Vm's view of the seat holders: those it considers overdue; it heard from all others lately.
+    void recordSeatHolders(const std::vector<SeatHolderStatus> &overdue, TimePoint now);
+    std::vector<SeatHolderStatus> overdueSeatHolders(TimePoint now) const;
 
     /// Whether at least two other Vms report uninterrupted access to the store since the given time.
     bool hadStoreAccessSince(TimePoint since, TimePoint now) const;
-    void setLeaving() { m_isLeaving = true; } // marks this Vm as leaving
+    void setLeaving() { m_isLeaving = true; }                           // marks this Vm as leaving
+    void setStoreAccess(bool isReachable) { m_hasStore = isReachable; } // of this Vm
 
     bool isInOwnDomain(const Member &member) const { return member.registration.failureDomain == m_domain; }
     bool isSelf(const VmName &vm) const { return vm == m_self; }
+    const VmName &self() const { return m_self; }
+    bool isLeaving() const { return m_isLeaving; } // this Vm
     const Member *find(const VmName &vm) const;
     std::vector<const Member *> others() const;
-    std::vector<VmName> seatHolders() const;                                                // from the registrations alone, live or not
+    const std::vector<VmName> &seatHolders() const; // from the registrations alone, live or not
+    bool isSeatHolder(const VmName &vm) const;
     std::vector<VmName> liveSeatHolders(TimePoint now) const;                               // seat holders that callers may be sent to
     std::vector<Address> callerAddresses(const FailureDomain &domain, TimePoint now) const; // for callers in that failure domain
     bool isLive(const Member &member, TimePoint now) const;
 
-    /// Receivers of this Vm's status reports: all others if it is a seat holder, else the seat holders and the Vms of its own
-    /// failure domain. Each Vm thus gets reports from all Vms it may offer to callers, without all-to-all traffic, which would
-    /// grow with the square of the fleet size.
+    /// Receivers of this Vm's status reports: the other seat holders if it is one, else nobody. Vms without a seat learn which
+    /// seat holders are live from the replies to their feed requests, so that messages per Vm don't grow with the fleet.
     std::vector<const Member *> reportReceivers() const;
 
-    /// Seat holders that watch the store directly. All other Vms request changes from them.
+    /// Seat holders that watch the store directly: the first ones with access to it, completed by others that try to regain it.
     std::vector<VmName> watchers(TimePoint now) const;
 
-    /// Store watchers that can be asked for the changes after a revision. A watcher that lost the store doesn't notice it at
-    /// once, so if any have reported a newer revision, only those are returned.
+    /// Vms that can be asked for the changes after a revision. For a seat holder these are the store watchers; one that lost the
+    /// store doesn't notice it at once, so if any have reported a newer revision, only those are returned. For other Vms they are
+    /// the live seat holders or, if none is known to be live, all of them.
     std::vector<const Member *> feedSources(std::uint64_t since, bool prefersOwnDomain, TimePoint now) const;
 
+    /// Registered Vms that have been silent for the given time and that this Vm has to remove from the store: the first live seat
+    /// holder removes seat holders, the first one of a failure domain the domain's other Vms. Both count the silence from the time
+    /// at which they took over that role.
+    std::vector<VmName> lostVms(Duration silence, TimePoint now);
+
 private:
     VmName m_self;
     FailureDomain m_domain;
     Duration m_silenceLimit;
     bool m_isLeaving = false;
+    bool m_hasStore = true;             // until a call to the store fails
     std::map<VmName, Member> m_members; // including this Vm
+    std::optional<TimePoint> m_removesHoldersSince;
+    std::optional<TimePoint> m_removesDomainSince;
+    mutable std::optional<std::vector<VmName>> m_seatHolders; // cached; empty: registrations changed
 };
 
 } // namespace Pollenspoke
--- /dev/null
+++ b/packages/fleet/tests/test_link.cpp
@@ -0,0 +1,76 @@
+// Datagrams that are too long to be sent whole.
+#include "link.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace Pollenspoke;
+
+namespace {
+
+const VmName sender{"vm-1"};
+
+std::vector<Fragment> split(std::uint64_t id, std::string_view bytes)
+{
+    std::vector<Fragment> fragments;
+    for (const std::string &it : splitDatagram(sender, id, bytes)) {
+        fragments.push_back(decodeFragment(it)->second);
+    }
+    return fragments;
+}
+
+std::string makeBytes(std::size_t n, char first)
+{
+    std::string bytes(n, first);
+    bytes.back() = 'z';
+    return bytes;
+}
+
+} // namespace
+
+// A configuration of a thousand routes doesn't fit into one datagram: each Vm that couldn't get it from another one called the store.
+BOOST_AUTO_TEST_CASE(a_long_datagram_is_joined_from_fragments_in_any_order)
+{
+    const std::string bytes = makeBytes(300000, 'a');
+    std::vector<Fragment> fragments = split(7, bytes);
+    BOOST_TEST(fragments.size() > 1U);
+    std::swap(fragments.front(), fragments.back());
+    Reassembler reassembler;
+    std::optional<std::string> joined;
+    for (const Fragment &it : fragments) {
+        BOOST_TEST(!joined.has_value());
+        joined = reassembler.add(sender, it);
+    }
+    BOOST_REQUIRE(joined.has_value());
+    BOOST_TEST((*joined == bytes));
+}
+
+BOOST_AUTO_TEST_CASE(a_lost_or_repeated_fragment_completes_nothing)
+{
+    const std::vector<Fragment> fragments = split(7, makeBytes(40000, 'a'));
+    BOOST_REQUIRE(fragments.size() == 3U);
+    Reassembler reassembler;
+    BOOST_TEST(!reassembler.add(sender, fragments[0]).has_value());
+    BOOST_TEST(!reassembler.add(sender, fragments[0]).has_value());
+    BOOST_TEST(!reassembler.add(sender, fragments[2]).has_value());
+    BOOST_TEST(!reassembler.add({"vm-2"}, fragments[1]).has_value()); // the same id of another Vm
+}
+
+BOOST_AUTO_TEST_CASE(fragments_that_no_datagram_has_are_ignored)
+{
+    Reassembler reassembler;
+    BOOST_TEST(!reassembler.add(sender, {.id = 1, .index = 0, .count = 0, .part = "a"}).has_value());
+    BOOST_TEST(!reassembler.add(sender, {.id = 1, .index = 3, .count = 3, .part = "a"}).has_value());
+    BOOST_TEST(!reassembler.add(sender, {.id = 1, .index = 0, .count = Reassembler::maxFragments + 1, .part = "a"}).has_value());
+    BOOST_TEST(!reassembler.add(sender, {.id = 2, .index = 0, .count = 2, .part = "a"}).has_value());
+    BOOST_TEST(!reassembler.add(sender, {.id = 2, .index = 4, .count = 5, .part = "a"}).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(incomplete_datagrams_are_dropped_from_the_oldest_on)
+{
+    Reassembler reassembler;
+    for (std::uint64_t id = 0; id <= Reassembler::maxIncomplete; ++id) {
+        BOOST_TEST(!reassembler.add(sender, {.id = id, .index = 0, .count = 2, .part = "a"}).has_value());
+    }
+    BOOST_TEST(reassembler.add(sender, {.id = 1, .index = 1, .count = 2, .part = "b"}).value_or("") == "ab");
+    BOOST_TEST(!reassembler.add(sender, {.id = 0, .index = 1, .count = 2, .part = "b"}).has_value());
+}
