Feed: a seat holder that the store turned away polls those that reach it; stale sources are passed over

A silent store held up its watch for up to 4 s, and VMs without a seat that polled it stayed on the old configuration.

Change: access is judged by a VM's own calls alone, reported as such, and tried again every 5 s beside the feed. Watchers are those with access, or all who try while nobody has it. A source that has no sign of the store for 2.3 s is passed over at once, for at most two others.

--- a/packages/fleet/src/feed.cpp
+++ b/packages/fleet/src/feed.cpp
@@ -13,6 +13,8 @@
 constexpr auto plainPollInterval = std::chrono::milliseconds(600);  // of other Vms; two hops stay well below the platform's bounds
 constexpr auto replyTimeout = std::chrono::milliseconds(150);       // a round trip takes about 2 ms, a large configuration longer
 constexpr std::uint64_t anyDomainInterval = 3;                      // every third request may go to a source in any failure domain
+constexpr int maxSourcesPerPoll = 3;                                // if sources seem to have lost the store
+constexpr auto probeInterval = std::chrono::seconds(5);             // of the store by a seat holder without access to it
 constexpr auto startupGrace = std::chrono::milliseconds(2500);      // until the seat holders of a new fleet have found each other
 constexpr auto directWatchTimeout = std::chrono::seconds(2);        // for a direct watch of the store by a Vm that isn't a store watcher
 
@@ -146,6 +148,7 @@
 {
     m_metrics.count(Counter::StoreCalls);
     Result<DocumentList> result = co_await m_store.list(kind, consistency);
+    recordAccess(result.has_value(), result ? ErrorCode() : result.error().code);
     if (result) {
         m_lastStoreContactAt = m_clock.now();
         m_logs[kind].addList(*result);
@@ -157,6 +160,7 @@
 {
     m_metrics.count(Counter::StoreCalls);
     Result<DocumentChanges> changes = co_await m_store.watch(kind, since, wait);
+    recordAccess(changes.has_value(), changes ? ErrorCode() : changes.error().code);
     if (changes) {
         m_lastStoreContactAt = m_clock.now();
         m_logs[kind].add(*changes);
@@ -197,9 +201,32 @@
     }
 }
 
+// An answer of any kind proves access.
+void FeedStore::recordAccess(bool succeeded, ErrorCode code)
+{
+    m_members.setStoreAccess(succeeded || (code != ErrorCode::Unavailable && code != ErrorCode::OutcomeUnknown));
+}
+
 void FeedStore::startPolling()
 {
     net::co_spawn(m_context, poll(), net::detached);
+    net::co_spawn(m_context, probe(), net::detached);
+}
+
+// A seat holder that the store turned away tries it again, so that it can become a store watcher. Meanwhile it polls the others: a
+// silent store would hold up its own watch for seconds.
+net::awaitable<void> FeedStore::probe()
+{
+    net::steady_timer timer(m_context);
+    for (;;) {
+        timer.expires_after(probeInterval);
+        co_await timer.async_wait(net::use_awaitable);
+        if (!m_members.hasStoreAccess() && m_members.isSeatHolder(m_members.self()) && !isStoreWatcher() && !m_logs.empty()) {
+            const std::string kind = m_logs.begin()->first;
+            const std::uint64_t since = m_logs.begin()->second.endRevision().value_or(0);
+            co_await watchStore(kind, since, Duration(0));
+        }
+    }
 }
 
 net::awaitable<void> FeedStore::poll()
@@ -220,14 +247,19 @@
 
 net::awaitable<void> FeedStore::pollOnce()
 {
-    const Member *source = chooseSource();
-    std::optional<FeedReply> reply;
-    if (source != nullptr) {
-        reply = co_await requestChanges(*source);
-    }
-    if (reply) {
+    for (int i = 0; i < maxSourcesPerPoll; ++i) {
+        const Member *source = chooseSource();
+        std::optional<FeedReply> reply;
+        if (source != nullptr) {
+            reply = co_await requestChanges(*source);
+        }
+        if (!reply) {
+            break;
+        }
         applyReply(*reply);
-        co_return;
+        if (reply->storeContactAge <= staleSourceLimit) {
+            co_return;
+        }
     }
     for (auto &[kind, it] : m_watches) {
         if (!isInStartupGrace()) {
--- a/packages/fleet/src/feed.h
+++ b/packages/fleet/src/feed.h
@@ -67,6 +67,10 @@
     /// shorter than the time after which a target's registration expires.
     static constexpr Duration storeSilenceLimit = std::chrono::seconds(3);
 
+    /// A source without a sign of the store for this long may have lost it, so another one is asked at once. Longer than a watch
+    /// without changes and a poll.
+    static constexpr Duration staleSourceLimit = std::chrono::milliseconds(2300);
+
     /// All arguments must outlive this object. Not thread-safe: used on one event loop only.
     FeedStore(boost::asio::io_context &context, DocumentStore &store, Link &link, Members &members, const Clock &clock, Metrics &metrics);
 
@@ -100,7 +104,9 @@
     Call<DocumentChanges> watchStore(std::string kind, std::uint64_t since, Duration wait);
     boost::asio::awaitable<void> poll();
     boost::asio::awaitable<void> pollOnce();
+    boost::asio::awaitable<void> probe();
     void applyReply(const FeedReply &reply);
+    void recordAccess(bool succeeded, ErrorCode code);
     boost::asio::awaitable<std::optional<FeedReply>> requestChanges(const Member &source);
     void wake(Watch &watch);
 
--- a/packages/fleet/src/fleet_vm.cpp
+++ b/packages/fleet/src/fleet_vm.cpp
@@ -153,7 +153,6 @@
 void FleetVm::Impl::recordStoreCall(bool succeeded, const std::string &error)
 {
     const TimePoint now = clock.now();
-    members.setStoreAccess(succeeded);
     if (succeeded) {
         if (const std::optional<TimePoint> lostAt = configuration.roster().outageStartedAt()) {
             lastOutageStart = *lostAt;
@@ -413,7 +412,7 @@
     const StatusReport status{.isLeaving = isLeaving,
                               .declarationsRevision = configuration.declarationsRevision(),
                               .rosterRevision = configuration.rosterRevision(),
-                              .storeReachableFor = storeReachableSince
+                              .storeReachableFor = storeReachableSince && members.hasStoreAccess()
                                   ? std::max<Duration>(clock.now() - *storeReachableSince, std::chrono::milliseconds(1))
                                   : Duration(0),
                               .targetReports = std::move(reports),
--- a/packages/fleet/src/members.cpp
+++ b/packages/fleet/src/members.cpp
@@ -195,11 +195,13 @@
 std::vector<VmName> Members::watchers(TimePoint now) const
 {
     constexpr std::size_t maxWatchers = 4; // seat holders alternate over failure domains, so losing a domain leaves watchers in others
-    std::vector<VmName> selected = liveSeatHolders(now);
-    std::stable_partition(selected.begin(), selected.end(), [this, now](const VmName &it) {
+    const std::vector<VmName> live = liveSeatHolders(now);
+    std::vector<VmName> selected;
+    std::copy_if(live.begin(), live.end(), std::back_inserter(selected), [this, now](const VmName &it) {
         const Member &member = m_members.at(it);
         return isSelf(it) ? m_hasStore : member.storeReachableSince && now - member.lastReportAt < freshReportAge;
     });
+    selected = selected.empty() ? live : selected;
     selected.resize(std::min(selected.size(), maxWatchers));
     return selected;
 }
--- a/packages/fleet/src/members.h
+++ b/packages/fleet/src/members.h
@@ -49,7 +49,8 @@
     /// Whether at least two other Vms report uninterrupted access to the store since the given time.
     bool hadStoreAccessSince(TimePoint since, TimePoint now) const;
     void setLeaving() { m_isLeaving = true; }                           // marks this Vm as leaving
-    void setStoreAccess(bool isReachable) { m_hasStore = isReachable; } // of this Vm
+    void setStoreAccess(bool isReachable) { m_hasStore = isReachable; } // of this Vm, by its own calls
+    bool hasStoreAccess() const { return m_hasStore; }
 
     bool isInOwnDomain(const Member &member) const { return member.registration.failureDomain == m_domain; }
     bool isSelf(const VmName &vm) const { return vm == m_self; }
@@ -67,7 +68,7 @@
     /// seat holders are live from the replies to their feed requests, so that messages per Vm don't grow with the fleet.
     std::vector<const Member *> reportReceivers() const;
 
-    /// Seat holders that watch the store directly: the first ones with access to it, completed by others that try to regain it.
+    /// Seat holders that watch the store directly: the first ones with access to it or, if nobody has it, those that try to regain it.
     std::vector<VmName> watchers(TimePoint now) const;
 
     /// Vms that can be asked for the changes after a revision. For a seat holder these are the store watchers; one that lost the
@@ -85,7 +86,7 @@
     FailureDomain m_domain;
     Duration m_silenceLimit;
     bool m_isLeaving = false;
-    bool m_hasStore = true;             // until a call to the store fails
+    bool m_hasStore = true;             // by its own calls; assumed until one fails
     std::map<VmName, Member> m_members; // including this Vm
     std::optional<TimePoint> m_removesHoldersSince;
     std::optional<TimePoint> m_removesDomainSince;
--- a/packages/fleet/tests/test_members.cpp
+++ b/packages/fleet/tests/test_members.cpp
@@ -106,6 +106,22 @@
     BOOST_TEST((members.watchers(start) == std::vector<VmName>{{"self"}, {"vm-1"}, {"vm-0"}, {"vm-3"}}));
 }
 
+// Pattern: the store turns a third of the Vms away and changes the configuration meanwhile. A watcher that went on watching, or that others
+// went on polling, kept all Vms behind it on the old configuration.
+BOOST_AUTO_TEST_CASE(a_seat_holder_that_the_store_turned_away_polls_those_that_reach_it)
+{
+    Members members = makeMembersWithSeat(40);
+    members.setStoreAccess(false);
+    members.recordReport({"vm-0"}, false, 0s, 42, start);
+    members.recordReport({"vm-1"}, false, 10s, 42, start);
+    members.recordReport({"vm-5"}, false, 10s, 42, start);
+    const std::vector<const Member *> sources = members.feedSources(42, false, start);
+    BOOST_TEST(sources.size() == 2U);
+    BOOST_TEST(hasVm(sources, "vm-1"));
+    BOOST_TEST(hasVm(sources, "vm-5"));
+    BOOST_TEST((members.watchers(start) == std::vector<VmName>{{"vm-1"}, {"vm-5"}}));
+}
+
 BOOST_AUTO_TEST_CASE(a_vm_that_knows_no_live_seat_holder_asks_all_of_them)
 {
     const Members members = makeMembers(40);
