Feed: no busy loop on a trimmed log; a log that doesn't know all documents restarts at a list; lost sources counted by replies

A watch whose log was trimmed past its revision span until its deadline and beyond; it goes to the store now. A list after a watch that had started the log was taken for the complete difference, so a document deleted before would have stayed with the VMs behind; the log starts anew (test, fails before). Replies of sources that lost the store counted as timeouts.

--- a/packages/fleet/src/feed.cpp
+++ b/packages/fleet/src/feed.cpp
@@ -26,6 +26,7 @@
     m_startRevision = revision;
     m_changes.clear();
     m_documentRevisions.clear();
+    m_knowsAllDocuments = false;
 }
 
 void ChangeLog::append(const DocumentChange &change)
@@ -57,14 +58,15 @@
 
 void ChangeLog::addList(const DocumentList &list)
 {
-    if (!m_endRevision) {
+    if (m_endRevision && list.revision <= *m_endRevision) {
+        return;
+    }
+    if (!m_endRevision || !m_knowsAllDocuments) {
         restartAt(list.revision);
         for (const StoredDocument &it : list.items) {
             m_documentRevisions[it.name] = it.revision;
         }
-        return;
-    }
-    if (list.revision <= *m_endRevision) {
+        m_knowsAllDocuments = true;
         return;
     }
     std::map<std::string, std::uint64_t> missing = m_documentRevisions;
@@ -182,7 +184,10 @@
         const TimePoint now = m_clock.now();
         std::optional<DocumentChanges> changes = log.since(since);
         const bool isStoreSilent = now - m_lastStoreContactAt > storeSilenceLimit;
-        if (changes && (!changes->events.empty() || (now >= deadline && !isStoreSilent))) {
+        if (!changes) {
+            break; // the log was trimmed meanwhile
+        }
+        if (!changes->events.empty() || (now >= deadline && !isStoreSilent)) {
             co_return std::move(*changes);
         }
         watch.timer = &timer;
@@ -247,7 +252,9 @@
 
 net::awaitable<void> FeedStore::pollOnce()
 {
-    for (int i = 0; i < maxSourcesPerPoll; ++i) {
+    bool hasReply = false;
+    bool isStale = true;
+    for (int i = 0; i < maxSourcesPerPoll && isStale; ++i) {
         const Member *source = chooseSource();
         std::optional<FeedReply> reply;
         if (source != nullptr) {
@@ -257,14 +264,14 @@
             break;
         }
         applyReply(*reply);
-        if (reply->storeContactAge <= staleSourceLimit) {
-            co_return;
-        }
+        hasReply = true;
+        isStale = reply->storeContactAge > staleSourceLimit;
+    }
+    if (hasReply || isInStartupGrace()) {
+        co_return;
     }
     for (auto &[kind, it] : m_watches) {
-        if (!isInStartupGrace()) {
-            it.failures.recordTimeout();
-        }
+        it.failures.recordTimeout();
     }
 }
 
--- a/packages/fleet/src/feed.h
+++ b/packages/fleet/src/feed.h
@@ -21,7 +21,7 @@
     void add(const DocumentChanges &changes);
 
     /// Continues the log with a list, which may be all that is left after the store discarded its history: logs the differences
-    /// from the documents known so far. Ignores a list that is older than the log.
+    /// from the documents known so far, or starts anew if not all are known. Ignores a list that is older than the log.
     void addList(const DocumentList &list);
 
     std::optional<DocumentChanges> since(std::uint64_t revision) const; // empty: not covered, or too large for one reply
@@ -39,6 +39,7 @@
 
     std::optional<std::uint64_t> m_endRevision; // the log holds each change after m_startRevision up to this one; empty: not started
     std::uint64_t m_startRevision = 0;
+    bool m_knowsAllDocuments = false;                         // m_documentRevisions is complete, so that a list shows what was deleted
     std::deque<Entry> m_changes;                              // by revision
     std::map<std::string, std::uint64_t> m_documentRevisions; // of the documents that exist at the end of the log
 };
--- a/packages/fleet/tests/test_feed.cpp
+++ b/packages/fleet/tests/test_feed.cpp
@@ -100,3 +100,15 @@
     BOOST_TEST(log.since(40)->events.empty());
     BOOST_TEST(log.since(40)->revision == 40U);
 }
+
+// A log that started with a watch doesn't know all documents. If the differences from a list were taken for complete, a document deleted
+// in between would stay in use on the Vms that poll this one.
+BOOST_AUTO_TEST_CASE(a_list_restarts_a_log_that_does_not_know_all_documents)
+{
+    ChangeLog log;
+    log.restartAt(40);
+    log.add(changesAt(42));
+    log.addList({.revision = 50, .items = {{.name = "a", .revision = 45}}});
+    BOOST_TEST(!log.since(42).has_value());
+    BOOST_TEST(log.since(50)->events.empty());
+}
