Base: StorePosition, a point in the history of a store that may be restored from an older copy

Revisions are compared as bare numbers today; a store that comes back from an older copy gives them out again. One type orders positions by era, then revision. Nothing uses it yet.

--- a/packages/base/include/pollenspoke/base.h
+++ b/packages/base/include/pollenspoke/base.h
@@ -9,7 +9,8 @@
 /// - [5] Refusals, retries   (RunState, RefusalReason, RetryReason)
 /// - [6] Numbered events     (Event, eventName())
 /// - [7] Hashing and random  (sha256Hex(), stableHash(), randomHex())
-/// - [8] Assertions          (POLLENSPOKE_ASSERT)
+/// - [8] Store positions     (StorePosition)
+/// - [9] Assertions          (POLLENSPOKE_ASSERT)
 #pragma once
 
 #include <atomic>
@@ -217,6 +218,7 @@
     StoreUnavailable        = 2003, // the platform's object API stopped responding
     StoreRecovered          = 2004, // the platform's object API responds again
     ObjectSkipped           = 2005, // a stored object is invalid; its last valid version, if any, stays in force
+    StoreEraChanged         = 2006, // the store was restored from an older copy
     RequestRefused          = 3001, // with reason and account; sampled
     AnswerDiscarded         = 3002, // a truncated, mismatched or unsolicited response was dropped
     SilentConnectionsClosed = 3003, // connections to a target stopped responding and were closed
@@ -249,7 +251,35 @@
 std::string randomHex(std::size_t bytes);                                 // cryptographically secure; 2 digits per byte
 
 //-----------------------------------------------------------------------------
-// [8] Assertions
+// [8] Store positions
+//-----------------------------------------------------------------------------
+
+/// A point in the history of a store. A store that is restored from an older copy starts a new era and gives out again the revisions
+/// after that of the copy, so positions are ordered by era first. The default is before all positions of every store.
+class StorePosition
+{
+public:
+    constexpr StorePosition() = default;
+    constexpr StorePosition(std::uint64_t era, std::uint64_t revision)
+        : m_era(era)
+        , m_revision(revision)
+    {
+    }
+
+    constexpr std::uint64_t era() const { return m_era; }
+    constexpr std::uint64_t revision() const { return m_revision; }
+    constexpr bool isInSameEra(const StorePosition &other) const { return m_era == other.m_era; }
+    constexpr auto operator<=>(const StorePosition &) const = default;
+
+private:
+    std::uint64_t m_era = 0; // 0: the store doesn't tell
+    std::uint64_t m_revision = 0;
+};
+
+std::string toString(const StorePosition &position); // "era.revision"
+
+//-----------------------------------------------------------------------------
+// [9] Assertions
 //-----------------------------------------------------------------------------
 
 [[noreturn]] void failAssertion(const char *condition, const char *advice, const char *file, int line);
--- a/packages/base/src/events.cpp
+++ b/packages/base/src/events.cpp
@@ -26,6 +26,7 @@
     EventRow{Event::StoreUnavailable, "store_unavailable"},
     EventRow{Event::StoreRecovered, "store_recovered"},
     EventRow{Event::ObjectSkipped, "object_skipped"},
+    EventRow{Event::StoreEraChanged, "store_era_changed"},
     EventRow{Event::RequestRefused, "request_refused"},
     EventRow{Event::AnswerDiscarded, "answer_discarded"},
     EventRow{Event::SilentConnectionsClosed, "silent_connections_closed"},
--- a/packages/base/tests/test_base.cpp
+++ b/packages/base/tests/test_base.cpp
@@ -40,6 +40,17 @@
     BOOST_TEST(names.size() == refusalReasonCount);
 }
 
+// A store that is restored gives out revisions again: the later position may have the lower revision.
+BOOST_AUTO_TEST_CASE(a_position_of_a_later_era_is_newer_whatever_its_revision)
+{
+    BOOST_TEST((StorePosition(2, 10) > StorePosition(1, 900)));
+    BOOST_TEST((StorePosition(2, 10) > StorePosition(2, 9)));
+    BOOST_TEST((StorePosition() < StorePosition(0, 1)));
+    BOOST_TEST(StorePosition(2, 10).isInSameEra(StorePosition(2, 900)));
+    BOOST_TEST(!StorePosition(2, 10).isInSameEra(StorePosition(1, 10)));
+    BOOST_TEST(toString(StorePosition(2, 10)) == "2.10");
+}
+
 BOOST_AUTO_TEST_CASE(event_catalogue_matches_the_code)
 {
     std::ifstream file(POLLENSPOKE_SOURCE_DIR "/docs/EVENTS.md");
