Planned stop: begin only work that can end before the process does

Nothing compared the time that work may take with the time that is left.

PlannedStop (policy, no clock of its own) decides it in one place, and each point at which work can begin asks it: before a body is read, before a token is taken, after a target was chosen, before another attempt. Callers may still have the address for the answers' time to live; later only a request whose own time ends before the process does is begun, others are refused as not run, with Retry-After 0, so that callers go elsewhere at once. The end is derived from the platform's grace time (fleet.grace_ms) instead of being a constant of 5.6 s. At the end, what is left is answered: 503 if no target had it, 504 stop_timeout (new) if it may have run, and logged as request_aborted (new) with its id; a response that was partly sent is reset so that it can't look whole. A wait for a token can now be cancelled, and the event loops get time for these answers also if the end was noticed late.

--- a/apps/pollenspoked/settings.cpp
+++ b/apps/pollenspoked/settings.cpp
@@ -231,8 +231,8 @@
     section.readMs("status_period_ms", fleet.statusPeriod);
     section.readMs("news_period_ms", fleet.targetReportPeriod);
     section.readMs("silence_limit_ms", fleet.silenceLimit);
+    section.readMs("grace_ms", fleet.graceTime);
     section.readMs("leave_ms", fleet.leaveTime);
-    section.readNumber("drain_timeout_ms", fleet.drainTimeoutMs, 1, maxMilliseconds);
     section.readReal("quota_rate_factor", fleet.quota.rateFactor, 0.1, 10);
     section.readReal("quota_extra_burst", fleet.quota.extraBurst, 0, 1000);
     section.rejectUnknownKeys();
--- a/apps/pollenspoked/vm.cpp
+++ b/apps/pollenspoked/vm.cpp
@@ -247,9 +247,10 @@
 {
     m_phase = VmPhase::Leaving;
     logEvent(Event::VmLeaving, {{"vm", m_settings.proxy.vm.value}});
-    m_proxy.beginLeave();
-    std::this_thread::sleep_for(std::chrono::milliseconds(m_settings.proxy.addressTtlMs));
-    const bool isDrained = m_proxy.drainAndStop(m_settings.drainTimeoutMs);
+    const Duration leaveTime = std::chrono::milliseconds(m_settings.proxy.addressTtlMs);
+    m_proxy.beginLeave({.acceptTime = leaveTime, .totalTime = leaveTime + std::chrono::milliseconds(m_settings.drainTimeoutMs)});
+    std::this_thread::sleep_for(leaveTime);
+    const bool isDrained = m_proxy.drainAndStop();
     logEvent(Event::VmStopped, {{"vm", m_settings.proxy.vm.value}, {"cut", isDrained ? "none" : "some"}});
     return isDrained;
 }
--- a/packages/base/include/pollenspoke/base.h
+++ b/packages/base/include/pollenspoke/base.h
@@ -177,6 +177,7 @@
     DeadlineExceeded,     // 504 the deadline passed before any dispatch
     ConfigurationStale,   // 503 this Vm can't confirm that its configuration is current
     ShuttingDown,         // 503 the Vm is shutting down
+    StopTimeout,          // 504 dispatched, no complete response before the Vm had to stop
     TooManyConnections,   // 503 this Vm's connection limit is reached
     CallerGone,           // the caller closed its connection; counted, nothing is sent
 };
@@ -225,6 +226,7 @@
     AcceptFailed            = 3004, // accept() failed for a caller's connection
     AttemptFailed           = 3005, // one attempt on a target failed; with the request id
     FailurePassedOn         = 3006, // a target's error response was forwarded to the caller
+    RequestAborted          = 3007, // a planned stop ended before the request; with its id and how far it had got
     TargetEjected           = 4001, // taken out of rotation; logged with the evidence
     TargetReturned          = 4002, // back in rotation; logged with the evidence
     FloorReached            = 4003, // an ejection was suppressed: too few targets would remain in rotation
--- a/packages/base/src/events.cpp
+++ b/packages/base/src/events.cpp
@@ -33,6 +33,7 @@
     EventRow{Event::AcceptFailed, "accept_failed"},
     EventRow{Event::AttemptFailed, "attempt_failed"},
     EventRow{Event::FailurePassedOn, "failure_passed_on"},
+    EventRow{Event::RequestAborted, "request_aborted"},
     EventRow{Event::TargetEjected, "target_ejected"},
     EventRow{Event::TargetReturned, "target_returned"},
     EventRow{Event::FloorReached, "floor_reached"},
--- a/packages/base/src/reasons.cpp
+++ b/packages/base/src/reasons.cpp
@@ -42,6 +42,7 @@
     {RefusalReason::DeadlineExceeded, 504, "deadline_exceeded"},
     {RefusalReason::ConfigurationStale, 503, "configuration_stale"},
     {RefusalReason::ShuttingDown, 503, "shutting_down"},
+    {RefusalReason::StopTimeout, 504, "stop_timeout"},
     {RefusalReason::TooManyConnections, 503, "too_many_connections"},
     {RefusalReason::CallerGone, 0, "caller_gone"},
 }};
--- a/packages/fleet/include/pollenspoke/fleet.h
+++ b/packages/fleet/include/pollenspoke/fleet.h
@@ -182,8 +182,8 @@
     Duration statusPeriod = std::chrono::milliseconds(1000);     // between status reports to other Vms
     Duration targetReportPeriod = std::chrono::milliseconds(40); // between reports of target changes to seat holders
     Duration silenceLimit = std::chrono::milliseconds(3000);     // a Vm without a report for this long is not offered to callers
-    Duration leaveTime = std::chrono::milliseconds(4200);        // planned stop: keeps serving until cached address answers expire
-    std::uint32_t drainTimeoutMs = 1400;                         // planned stop: longest wait for in-flight requests after that
+    Duration graceTime = std::chrono::seconds(6);                // from SIGTERM until the platform kills the process
+    Duration leaveTime = std::chrono::milliseconds(4200);        // planned stop: keeps listening until cached address answers expire
     QuotaPoolOptions quota;
 };
 
--- a/packages/fleet/src/fleet_vm.cpp
+++ b/packages/fleet/src/fleet_vm.cpp
@@ -18,6 +18,8 @@
 constexpr auto rosterCheckInterval = std::chrono::milliseconds(100); // longest delay of removing an expired target on a seat holder
 constexpr auto idleCheckInterval = std::chrono::milliseconds(500);   // the same on a Vm without a seat
 constexpr auto isolationTimeout = std::chrono::seconds(30);          // a Vm without reports from others for this long stops using its seat
+constexpr auto addressSpreadTime = std::chrono::milliseconds(750);   // until no Vm offers the address of one that leaves
+constexpr auto exitTime = std::chrono::milliseconds(400);            // of the grace time, for a late signal and for the exit itself
 constexpr double maxMillicores = 1e6;                                // plausibility limit for a registration
 constexpr auto deregistrationTimeout = std::chrono::seconds(90);     // a Vm without reports for this long is removed from the store
 
@@ -73,6 +75,7 @@
 
     Result<void> start();
     bool stop();
+    StopSchedule stopSchedule() const;
     bool holdsSeat() const { return members.isSeatHolder(options.proxy.vm); }
     bool isReady() const { return hasSnapshot && !isLeaving; }
     Page answerPage(const PageRequest &request);
@@ -514,6 +517,14 @@
     return {};
 }
 
+// Callers that took the address just before the stop use it until their answer expires. Requests that come later meet a process
+// with little time left.
+StopSchedule FleetVm::Impl::stopSchedule() const
+{
+    const Duration totalTime = std::max<Duration>(options.graceTime - exitTime, options.graceTime / 2);
+    return {.acceptTime = std::min<Duration>(options.addressTtl + addressSpreadTime, totalTime / 2), .totalTime = totalTime};
+}
+
 bool FleetVm::Impl::stop()
 {
     net::post(context, [this] {
@@ -521,9 +532,10 @@
         members.setLeaving();
         sendReport(members.reportReceivers(), std::nullopt);
     });
-    proxy.beginLeave();
-    std::this_thread::sleep_for(options.leaveTime);
-    const bool isDrained = proxy.drainAndStop(options.drainTimeoutMs);
+    const StopSchedule schedule = stopSchedule();
+    proxy.beginLeave(schedule);
+    std::this_thread::sleep_for(std::min(options.leaveTime, schedule.totalTime));
+    const bool isDrained = proxy.drainAndStop();
     context.stop();
     thread.join();
     return isDrained;
--- a/packages/policy/include/pollenspoke/policy.h
+++ b/packages/policy/include/pollenspoke/policy.h
@@ -16,6 +16,7 @@
 /// - [10] Seat assignment          (RegisteredVm, assignSeats())
 /// - [11] Fleet-wide token pool    (QuotaPoolOptions, QuotaPool)
 /// - [12] Target roster            (RosterEntry, TargetRoster)
+/// - [13] Planned stop             (StopSchedule, PlannedStop)
 ///
 /// Example:
 /// @code
@@ -1014,4 +1015,37 @@
     TimePoint m_graceUntil;
 };
 
+//-----------------------------------------------------------------------------
+// [13] Planned stop
+//-----------------------------------------------------------------------------
+
+/// Times of a planned stop, counted from its start.
+struct StopSchedule
+{
+    Duration acceptTime{}; // requests are accepted as usual, since callers may still have this Vm's address
+    Duration totalTime{};  // the process then ends, whatever is in flight
+    auto operator<=>(const StopSchedule &) const = default;
+};
+
+/// Decides which work may begin during a planned stop. Whatever a target has begun when the process ends is lost to the caller, so
+/// late in the stop a request is refused as not run unless it is certain to be answered before.
+class PlannedStop
+{
+public:
+    PlannedStop(const StopSchedule &schedule, TimePoint startedAt)
+        : m_acceptsUntil(startedAt + schedule.acceptTime)
+        , m_endsAt(startedAt + schedule.totalTime)
+    {
+    }
+
+    TimePoint endsAt() const { return m_endsAt; }
+    bool mayStart(TimePoint requestDeadline, TimePoint now) const; // whether a request that hasn't run may be sent to a target
+    bool mayRetry(Duration usualLatency, TimePoint now) const;     // whether one that may have run may be sent to another target
+    auto operator<=>(const PlannedStop &) const = default;
+
+private:
+    TimePoint m_acceptsUntil;
+    TimePoint m_endsAt;
+};
+
 } // namespace Pollenspoke
--- a/packages/proxy/include/pollenspoke/proxy.h
+++ b/packages/proxy/include/pollenspoke/proxy.h
@@ -16,7 +16,7 @@
 /// proxy.applySnapshot(snapshot);
 /// Result<void> listening = proxy.start();
 /// ...
-/// proxy.beginLeave();
+/// proxy.beginLeave({.acceptTime = std::chrono::seconds(3), .totalTime = std::chrono::seconds(6)});
 /// proxy.drainAndStop();
 /// @endcode
 #pragma once
@@ -168,8 +168,12 @@
     void setVmCount(std::uint32_t n);               // Vms that divide each target's connection limit, at least 1
     void applyVms(const std::vector<VmEntry> &vms); // for the address list and the connection limits
 
-    void beginLeave();                          // no longer advertises this Vm; requests are still served
-    bool drainAndStop(std::uint32_t timeoutMs); // stops accepting connections; true if all requests completed in time
+    /// Planned stop, first part: this Vm is no longer advertised but still serves, as the schedule allows. Starts the schedule.
+    void beginLeave(const StopSchedule &schedule);
+
+    /// Planned stop, second part: stops accepting connections and waits for the requests in flight until the schedule ends. Those
+    /// that remain are answered as not run, or as unknown if a target may have run them. Returns true if none remained.
+    bool drainAndStop();
 
 private:
     struct Impl;
--- a/packages/proxy/src/dispatcher.cpp
+++ b/packages/proxy/src/dispatcher.cpp
@@ -86,6 +86,11 @@
 
 } // namespace
 
+Refusal makeStopRefusal()
+{
+    return Refusal{.reason = RefusalReason::ShuttingDown, .retryAfter = Duration(0), .closesConnection = true};
+}
+
 http::request<http::string_body>
 makeTargetRequest(const DispatchRequest &request, const TargetName &target, const WireContract &contract, TimePoint now)
 {
@@ -116,10 +121,14 @@
     return message;
 }
 
-Dispatcher::Dispatcher(const ProxyOptions &options, ProxyDependencies dependencies, const Configuration &configuration)
+Dispatcher::Dispatcher(const ProxyOptions &options,
+                       ProxyDependencies dependencies,
+                       const Configuration &configuration,
+                       const CurrentStop &stop)
     : m_options(options)
     , m_dependencies(dependencies)
     , m_configuration(configuration)
+    , m_stop(stop)
     , m_targets(m_options, dependencies.clock)
     , m_pool(dependencies.metrics)
 {
@@ -165,6 +174,9 @@
         if (std::optional<Refusal> refusal = co_await acquireTarget(request, trace, progress)) {
             co_return refusal;
         }
+        if (isStopTooClose(request, trace)) { // checked last, since the request may have waited for a target
+            co_return trace.mayHaveRun ? makeFinalRefusal(request, trace, progress) : makeStopRefusal();
+        }
         if (progress.last) {
             m_dependencies.metrics.countRetry(progress.last->reason);
         }
@@ -234,6 +246,15 @@
     return progress.hasReservedRetry;
 }
 
+bool Dispatcher::isStopTooClose(const DispatchRequest &request, const DispatchTrace &trace) const
+{
+    const std::shared_ptr<const PlannedStop> stop = m_stop.load();
+    const TimePoint now = m_dependencies.clock.now();
+    return stop
+        && !(trace.mayHaveRun ? stop->mayRetry(m_targets.usualLatency(request.resolved.serviceName), now)
+                              : stop->mayStart(request.deadline, now));
+}
+
 // Resolves the request again before a retry, so that routes closed, keys withdrawn and targets removed since then are
 // respected.
 std::optional<Refusal> Dispatcher::resolveForRetry(DispatchRequest &request, const DispatchTrace &trace, Progress &progress) const
--- a/packages/proxy/src/dispatcher.h
+++ b/packages/proxy/src/dispatcher.h
@@ -10,6 +10,8 @@
 
 namespace Pollenspoke {
 
+using CurrentStop = std::atomic<std::shared_ptr<const PlannedStop>>; // null unless the Vm is stopping
+
 /// A request that passed admission control.
 struct DispatchRequest
 {
@@ -28,6 +30,9 @@
     ServiceName service;      // empty until resolved
 };
 
+/// For requests that a stopping Vm doesn't start. The caller may try another Vm at once.
+Refusal makeStopRefusal();
+
 /// Builds the request for a target: removes credentials and hop-by-hop headers, adds account, request id and deadline.
 http::request<http::string_body>
 makeTargetRequest(const DispatchRequest &request, const TargetName &target, const WireContract &contract, TimePoint now);
@@ -39,7 +44,7 @@
     using Configuration = std::atomic<std::shared_ptr<const Snapshot>>;
 
     /// The arguments must outlive the dispatcher.
-    Dispatcher(const ProxyOptions &options, ProxyDependencies dependencies, const Configuration &configuration);
+    Dispatcher(const ProxyOptions &options, ProxyDependencies dependencies, const Configuration &configuration, const CurrentStop &stop);
 
     /// Forwards the request and sends the target's response to `reply`. If a refusal is returned, nothing was sent and the
     /// calling code must send the refusal. Each retry resolves the request again with the current configuration.
@@ -97,6 +102,7 @@
     std::optional<Refusal> resolveForRetry(DispatchRequest &request, const DispatchTrace &trace, Progress &progress) const;
     net::awaitable<std::optional<Refusal>> acquireTarget(const DispatchRequest &request, const DispatchTrace &trace, Progress &progress);
     bool reserveRetry(const DispatchRequest &request, Progress &progress);
+    bool isStopTooClose(const DispatchRequest &request, const DispatchTrace &trace) const;
     Refusal makeFinalRefusal(const DispatchRequest &request, const DispatchTrace &trace, const Progress &progress) const;
     static void logFailure(const DispatchRequest &request, const Progress &progress, const AttemptFailure &failure, Duration elapsed);
     static void recordFailure(const AttemptFailure &failure, Progress &progress);
@@ -127,6 +133,7 @@
     ProxyOptions m_options;
     ProxyDependencies m_dependencies;
     const Configuration &m_configuration;
+    const CurrentStop &m_stop;
     TargetTable m_targets;
     ConnectionPool m_pool;
     std::atomic<std::uint32_t> m_vmCount{1};
--- a/packages/proxy/src/proxy.cpp
+++ b/packages/proxy/src/proxy.cpp
@@ -14,6 +14,7 @@
 constexpr std::size_t maxPendingRejections = 256; // connections above the limit that are sent a refusal concurrently
 constexpr std::size_t maxQueuedAccepts = 65536;   // bound of the final accept loop before the listener closes
 constexpr auto rejectionRetryAfter = std::chrono::seconds(1);
+constexpr auto abortTime = std::chrono::milliseconds(150); // at the end of a stop, to answer what is still in flight
 
 } // namespace
 
@@ -31,7 +32,7 @@
     Impl(ProxyOptions given, ProxyDependencies givenDependencies)
         : options(std::move(given))
         , dependencies(givenDependencies)
-        , dispatcher(options, dependencies, snapshot)
+        , dispatcher(options, dependencies, snapshot, stop)
         , addresses(options.addressTtlMs, options.addressCount)
     {
         for (std::uint32_t i = 0; i < options.workers; ++i) {
@@ -39,7 +40,7 @@
         }
     }
 
-    SessionContext sessionContext() { return {options, dependencies, dispatcher, addresses, snapshot, isLeaving}; }
+    SessionContext sessionContext() { return {options, dependencies, dispatcher, addresses, snapshot, isLeaving, stop}; }
 
     net::awaitable<void> acceptLoop();
     void acceptQueued();
@@ -50,12 +51,15 @@
     bool hasNoConnections() const; // none is open, being refused or waiting to be accepted
     void publishVms();
     void stopWorkers();
+    void visitSessions(void (Session::*function)()); // calls it on each session's worker
+    bool waitUntil(const std::function<bool()> &condition, TimePoint timeLimit) const; // false: the time limit passed
 
     ProxyOptions options;
     ProxyDependencies dependencies;
+    std::atomic<std::shared_ptr<const Snapshot>> snapshot;
+    CurrentStop stop;
     Dispatcher dispatcher;
     AddressAnswer addresses;
-    std::atomic<std::shared_ptr<const Snapshot>> snapshot;
     std::atomic<bool> isLeaving{false};
     std::atomic<bool> isDraining{false};
     std::atomic<bool> isAccepting{false};
@@ -182,6 +186,30 @@
     }
 }
 
+void Proxy::Impl::visitSessions(void (Session::*function)())
+{
+    for (const auto &it : workers) {
+        net::post(it->context, [worker = it.get(), function] {
+            for (const auto &session : worker->sessions) {
+                if (const auto open = session.lock()) {
+                    ((*open).*function)();
+                }
+            }
+        });
+    }
+}
+
+bool Proxy::Impl::waitUntil(const std::function<bool()> &condition, TimePoint timeLimit) const
+{
+    while (!condition()) {
+        if (dependencies.clock.now() >= timeLimit) {
+            return false;
+        }
+        std::this_thread::sleep_for(drainPollInterval);
+    }
+    return true;
+}
+
 Proxy::Proxy(ProxyOptions options, ProxyDependencies dependencies)
     : m_impl(std::make_unique<Impl>(std::move(options), dependencies))
 {
@@ -278,15 +306,17 @@
     m_impl->publishVms();
 }
 
-void Proxy::beginLeave()
+void Proxy::beginLeave(const StopSchedule &schedule)
 {
+    m_impl->stop = std::make_shared<const PlannedStop>(schedule, m_impl->dependencies.clock.now());
     m_impl->isLeaving = true;
     m_impl->publishVms();
 }
 
-bool Proxy::drainAndStop(std::uint32_t timeoutMs)
+bool Proxy::drainAndStop()
 {
-    m_impl->isLeaving = true;
+    const std::shared_ptr<const PlannedStop> stop = m_impl->stop.load();
+    POLLENSPOKE_ASSERT(stop, "call beginLeave() first");
     m_impl->isDraining = true;
     net::post(m_impl->workers.front()->context, [this] {
         SystemError ec;
@@ -294,20 +324,14 @@
             m_impl->acceptor->cancel(ec); // acceptLoop() accepts the backlog and closes the acceptor
         }
     });
-    for (const auto &it : m_impl->workers) {
-        net::post(it->context, [worker = it.get()] {
-            for (const auto &session : worker->sessions) {
-                if (const auto open = session.lock()) {
-                    open->closeWhenIdle();
-                }
-            }
-        });
-    }
-    const auto drainDeadline = std::chrono::steady_clock::now() + std::chrono::milliseconds(timeoutMs);
-    while (!m_impl->hasNoConnections() && std::chrono::steady_clock::now() < drainDeadline) {
-        std::this_thread::sleep_for(drainPollInterval);
+    m_impl->visitSessions(&Session::closeWhenIdle);
+    bool isDrained = m_impl->waitUntil([this] { return m_impl->hasNoConnections(); }, stop->endsAt() - abortTime);
+    if (!isDrained) {
+        const auto hasNoRequests = [this] { return m_impl->dependencies.metrics.value(Gauge::RequestsInFlight) == 0; };
+        isDrained = !m_impl->isAccepting && hasNoRequests(); // the remaining connections are idle
+        m_impl->visitSessions(&Session::abortRequest);
+        m_impl->waitUntil(hasNoRequests, m_impl->dependencies.clock.now() + abortTime);
     }
-    const bool isDrained = !m_impl->isAccepting && m_impl->dependencies.metrics.value(Gauge::RequestsInFlight) == 0;
     m_impl->stopWorkers();
     return isDrained;
 }
--- a/packages/proxy/src/session.cpp
+++ b/packages/proxy/src/session.cpp
@@ -48,14 +48,28 @@
     Limits limits;
     TimePoint now;
 
+    // The handler is called once, on its executor: with the decision, or when the wait is cancelled.
     template<typename Handler>
     void operator()(Handler handler) const
     {
-        auto shared = std::make_shared<Handler>(std::move(handler));
-        admission.admit(account, limits, now, [shared](const Admission &decision) {
-            const auto executor = net::get_associated_executor(*shared);
-            net::post(executor, [shared, decision] { std::move (*shared)(decision); });
-        });
+        auto slot = net::get_associated_cancellation_slot(handler);
+        const auto executor = net::get_associated_executor(handler);
+        const auto pending = std::make_shared<std::optional<Handler>>(std::move(handler));
+        const auto complete = [pending, executor, slot](const Admission &decision) {
+            net::post(executor, [pending, slot, decision]() mutable {
+                if (!pending->has_value()) {
+                    return;
+                }
+                slot.clear();
+                Handler called = std::move(**pending);
+                pending->reset();
+                std::move(called)(decision);
+            });
+        };
+        if (slot.is_connected()) {
+            slot.assign([complete](net::cancellation_type_t) { complete(RateExceeded{}); });
+        }
+        admission.admit(account, limits, now, complete);
     }
 };
 
@@ -90,6 +104,18 @@
                      {"retry_after_ms", refusal.retryAfter ? ms(*refusal.retryAfter) : "none"}});
 }
 
+void logAborted(
+    const Refusal &refusal, const std::string &requestId, const DispatchTrace &trace, bool hasResponseStarted, Duration totalTime)
+{
+    logRequestEvent(Event::RequestAborted,
+                    {{"request_id", requestId},
+                     {"run", refusal.run == RunState::NotRun ? "not-run" : "unknown"},
+                     {"account", trace.account.value},
+                     {"service", trace.service.value},
+                     {"response", hasResponseStarted ? "partly sent" : "not started"},
+                     {"after_ms", std::to_string(std::chrono::duration_cast<milliseconds>(totalTime).count())}});
+}
+
 // Increments a gauge for the lifetime of the object.
 class ScopedGaugeIncrement
 {
@@ -114,6 +140,7 @@
 Session::Session(Tcp::socket socket, SessionContext shared)
     : m_shared(shared)
     , m_stream(std::move(socket))
+    , m_abortTimer(m_stream.get_executor(), net::steady_timer::time_point::max())
 {
     SystemError ec;
     m_stream.socket().set_option(Tcp::no_delay(true), ec);
@@ -196,7 +223,7 @@
         co_return !ec;
     }
     // A request that is sent concurrently with this refusal is never read, so reporting "not run" is correct for it.
-    co_await refuse(Refusal{.reason = RefusalReason::ShuttingDown, .closesConnection = true});
+    co_await refuse(makeStopRefusal());
     co_return false;
 }
 
@@ -205,11 +232,11 @@
 {
     m_stream.expires_never();
     net::steady_timer timer(m_stream.get_executor(), maxDuration);
-    const auto outcome = co_await (std::move(readOperation) || timer.async_wait(asTuple));
+    const auto outcome = co_await (std::move(readOperation) || timer.async_wait(asTuple) || waitForAbort());
     if (outcome.index() == 1) {
         co_return beast::error::timeout;
     }
-    co_return std::get<0>(std::get<0>(outcome));
+    co_return outcome.index() == 2 ? SystemError(net::error::operation_aborted) : std::get<0>(std::get<0>(outcome));
 }
 
 net::awaitable<SystemError> Session::readHeader(HeaderParser &header)
@@ -232,6 +259,9 @@
     if (ec == beast::error::timeout) {
         co_return co_await refuse(Refusal{.reason = RefusalReason::RequestTimeout, .closesConnection = true});
     }
+    if (m_isAborted) {
+        co_return co_await refuse(makeStopRefusal());
+    }
     if (ec == http::error::end_of_stream || ec == http::error::partial_message
         || (ec && ec.category() == net::error::get_system_category())) {
         co_return ConnectionAction::Drop;
@@ -284,6 +314,9 @@
     if (!preliminary) {
         refusal = preliminary.error();
         refusal->closesConnection = refusal->closesConnection || hasBody;
+    } else if (const auto deadline = deadlineFor(*preliminary->route, header.get(), m_shared.options.wire);
+               deadline && !mayStart(receivedAt + *deadline)) {
+        refusal = makeStopRefusal(); // before its body is read
     }
     if (!refusal) {
         BodyParser bodyParser(std::move(header));
@@ -291,13 +324,24 @@
         if (!refusal) {
             DispatchRequest request{.message = bodyParser.release(), .requestId = requestId};
             bool isCallerGone = false;
+            bool isAborted = false;
             {
-                auto outcome = co_await (dispatchNoThrow(std::move(request), trace, reply) || waitForCallerDisconnect());
+                auto outcome = co_await (dispatchNoThrow(std::move(request), trace, reply) || waitForCallerDisconnect() || waitForAbort());
                 isCallerGone = outcome.index() == 1;
-                if (!isCallerGone) {
+                isAborted = outcome.index() == 2;
+                if (outcome.index() == 0) {
                     refusal = std::get<0>(outcome);
                 }
             }
+            if (isAborted) {
+                refusal = abortRefusal(trace);
+                logAborted(*refusal, requestId, trace, reply.hasStarted(), m_shared.dependencies.clock.now() - receivedAt);
+                if (reply.hasStarted()) { // a part of a response must not look complete
+                    m_shared.dependencies.metrics.count(Counter::AnswersCut);
+                    reply.resetConnection();
+                    co_return ConnectionAction::Drop;
+                }
+            }
             if (isCallerGone && reply.hasStarted()) {
                 // The caller disconnected or stopped reading while its response was being sent. This doesn't count as a refusal.
                 m_shared.dependencies.metrics.count(Counter::AnswersCut);
@@ -354,6 +398,12 @@
     co_return reply.keepsConnection() ? ConnectionAction::KeepOpen : ConnectionAction::Close;
 }
 
+bool Session::mayStart(TimePoint requestDeadline) const
+{
+    const std::shared_ptr<const PlannedStop> stop = m_shared.stop.load();
+    return !stop || stop->mayStart(requestDeadline, m_shared.dependencies.clock.now());
+}
+
 net::awaitable<std::optional<Refusal>> Session::readBody(BodyParser &parser)
 {
     const milliseconds maxDuration(m_shared.options.front.bodyTimeoutMs);
@@ -373,6 +423,9 @@
     if (ec == beast::error::timeout) {
         co_return Refusal{.reason = RefusalReason::RequestTimeout, .closesConnection = true};
     }
+    if (m_isAborted) {
+        co_return makeStopRefusal();
+    }
     if (ec == http::error::body_limit) {
         co_return refusalForParseError(ec, parser.get(), m_shared.options.wire);
     }
@@ -399,6 +452,9 @@
     if (!deadline) {
         co_return Refusal{.reason = RefusalReason::MalformedRequest};
     }
+    if (!mayStart(now + *deadline)) {
+        co_return makeStopRefusal(); // before it takes a token
+    }
     if (resolved->caller.account != nullptr) {
         const Admission admission = co_await requestAdmission(m_shared.dependencies.admission, resolved->caller, now);
         if (std::optional<Refusal> refusal = refusalFor(admission)) {
@@ -444,6 +500,25 @@
     co_await m_stream.socket().async_wait(Tcp::socket::wait_error, asTuple);
 }
 
+net::awaitable<void> Session::waitForAbort()
+{
+    co_await m_abortTimer.async_wait(asTuple);
+}
+
+Refusal Session::abortRefusal(const DispatchTrace &trace) const
+{
+    if (!trace.mayHaveRun) {
+        return makeStopRefusal();
+    }
+    return Refusal{.reason = RefusalReason::StopTimeout, .run = RunState::Unknown, .closesConnection = true};
+}
+
+void Session::abortRequest()
+{
+    m_isAborted = true;
+    m_abortTimer.expires_at(net::steady_timer::time_point::min()); // ends the present wait and all later ones
+}
+
 // Lingering close: shuts down the sending side and discards input for a while. Closing a socket with unread input resets the
 // connection, which may discard the last response before the caller has read it.
 net::awaitable<void> Session::closeWithLinger()
--- a/packages/proxy/src/session.h
+++ b/packages/proxy/src/session.h
@@ -18,6 +18,7 @@
     AddressAnswer &addresses;
     std::atomic<std::shared_ptr<const Snapshot>> &snapshot;
     std::atomic<bool> &isLeaving;
+    const CurrentStop &stop;
 };
 
 class Session : public std::enable_shared_from_this<Session>
@@ -28,6 +29,7 @@
     net::awaitable<void> run();                             // returns when the connection has ended; never throws
     net::awaitable<void> rejectConnection(Refusal refusal); // used instead of run(): sends the refusal without reading a request
     void closeWhenIdle();                                   // graceful shutdown; call on the session's executor
+    void abortRequest();                                    // the shutdown ends now: answers the current request; call likewise
 
 private:
     using HeaderParser = http::request_parser<http::empty_body>;
@@ -47,6 +49,9 @@
     net::awaitable<std::optional<Refusal>> dispatchNoThrow(DispatchRequest request, DispatchTrace &trace, ReplyWriter &reply);
     net::awaitable<std::optional<Refusal>> admitAndDispatch(DispatchRequest request, DispatchTrace &trace, ReplyWriter &reply);
     net::awaitable<void> waitForCallerDisconnect();
+    net::awaitable<void> waitForAbort();
+    bool mayStart(TimePoint requestDeadline) const; // whether a planned stop, if any, leaves time for the request
+    Refusal abortRefusal(const DispatchTrace &trace) const;
     net::awaitable<void> closeWithLinger();
 
     ReplyContext makeReplyContext(std::string requestId, const RequestHeader &header) const;
@@ -55,6 +60,8 @@
     SessionContext m_shared;
     beast::tcp_stream m_stream;
     beast::flat_buffer m_buffer;
+    net::steady_timer m_abortTimer; // expires when abortRequest() is called
+    bool m_isAborted = false;
     bool m_isIdle = false;
     bool m_isStopping = false; // close the connection after the current response
 };
--- a/packages/proxy/tests/test_address_answer.cpp
+++ b/packages/proxy/tests/test_address_answer.cpp
@@ -125,7 +125,7 @@
         });
     };
     BOOST_TEST(listsItself());
-    fixture.proxy().beginLeave();
+    fixture.proxy().beginLeave({.acceptTime = std::chrono::seconds(20), .totalTime = std::chrono::seconds(20)});
     BOOST_TEST(!listsItself());
     fixture.proxy().applyVms(vms); // an outdated list that still shows it as live
     BOOST_TEST(!listsItself());
--- a/packages/proxy/tests/test_planned_stop.cpp
+++ b/packages/proxy/tests/test_planned_stop.cpp
@@ -8,11 +8,14 @@
 
 namespace {
 
-constexpr std::uint32_t drainMs = 20000;
+constexpr StopSchedule longStop{.acceptTime = std::chrono::seconds(20), .totalTime = std::chrono::seconds(20)};
 
 std::future<bool> startDrain(Proxy &proxy)
 {
-    return std::async(std::launch::async, [&proxy] { return proxy.drainAndStop(drainMs); });
+    return std::async(std::launch::async, [&proxy] {
+        proxy.beginLeave(longStop);
+        return proxy.drainAndStop();
+    });
 }
 
 // Expects a 503 notice and a close on a connection that had no request when the drain started.
@@ -210,12 +213,12 @@
     ProxyFixture fixture({.targets = {target.address()}});
     RawCaller caller(fixture.port());
     BOOST_TEST(caller.request("GET", "/work").header("Connection").empty());
-    fixture.proxy().beginLeave();
+    fixture.proxy().beginLeave(longStop);
     const RawCaller::Response response = caller.request("GET", "/work");
     BOOST_TEST(response.status == 200U);
     BOOST_TEST(response.header("Connection") == "close");
     BOOST_TEST(RawCaller(fixture.port()).request("GET", "/work").status == 200U);
-    BOOST_TEST(fixture.proxy().drainAndStop(drainMs));
+    BOOST_TEST(fixture.proxy().drainAndStop());
 }
 
 BOOST_AUTO_TEST_CASE(a_drain_that_times_out_returns_false)
@@ -232,7 +235,8 @@
     RawCaller caller(fixture.port());
     caller.send(makeRequest("GET", "/work"));
     BOOST_REQUIRE(eventually([&] { return started == 1; }));
-    BOOST_TEST(!fixture.proxy().drainAndStop(100));
+    fixture.proxy().beginLeave({.totalTime = std::chrono::milliseconds(300)});
+    BOOST_TEST(!fixture.proxy().drainAndStop());
     gate.open();
 }
 
@@ -242,5 +246,6 @@
     Metrics metrics;
     LocalAdmission admission;
     Proxy proxy({.vm = {"vm-1"}, .failureDomain = {"fd-a"}, .callers = {.ip = "127.0.0.1"}, .workers = 1}, {clock, metrics, admission});
-    BOOST_TEST(proxy.drainAndStop(drainMs));
+    proxy.beginLeave(longStop);
+    BOOST_TEST(proxy.drainAndStop());
 }
--- a/soak/world.cpp
+++ b/soak/world.cpp
@@ -174,7 +174,7 @@
             << "workers: 1\n"
             << "dispatch: {connect_timeout_ms: 100, target_queue: 0, patience_factor: 3, retry_ratio: 0.2, retry_reserve: 60, "
             << "retry_window_ms: 10000, pooled_idle_ms: 8000}\n"
-            << "fleet: {address_ttl_ms: 1000, watch_wait_ms: 5000, leave_ms: 1800}\n";
+            << "fleet: {address_ttl_ms: 1000, watch_wait_ms: 5000, leave_ms: 1800, grace_ms: 3500}\n";
         vm.settingsFile = m_folder.write(vm.name + ".yaml", out.str());
         startVm(vm);
     }
