Dispatcher: an attempt that is cancelled is no evidence against its target

Callers that left early, and the end of a planned stop, made the VM avoid the targets that were serving them: target_ejected with cause failed or unreachable and a pause of 2 s, reported to the other VMs as well. Seen in the log of proxy.stop_phases.

Cause: cancelling the dispatch ends the pending read with an error; the attempt then returned a failure, which was recorded, before the next suspension point noticed the cancellation. Now dispatch() looks at its cancellation state first; the reservation is released as abandoned.

Evidence: a_caller_that_leaves_is_no_evidence_against_the_target failed before with 1 failure recorded.

--- a/packages/proxy/src/dispatcher.cpp
+++ b/packages/proxy/src/dispatcher.cpp
@@ -183,6 +183,10 @@
         const TimePoint startedAt = m_dependencies.clock.now();
         progress.hasReservedRetry = false;
         AttemptResult result = co_await runAttempt(request, progress, trace, reply);
+        if ((co_await net::this_coro::cancellation_state).cancelled() != net::cancellation_type::none) {
+            // The caller left, or a planned stop ended: the attempt didn't fail, and its reservation is released as abandoned.
+            co_return refusalForFailure(RetryReason::AnswerIncomplete, trace.mayHaveRun, false);
+        }
         const Duration elapsed = m_dependencies.clock.now() - startedAt;
         trace.timeAtTargets += elapsed;
         if (const auto *failure = std::get_if<AttemptFailure>(&result)) {
--- a/packages/proxy/tests/test_given_up_attempts.cpp
+++ b/packages/proxy/tests/test_given_up_attempts.cpp
@@ -1,4 +1,4 @@
-// Attempts that the proxy itself ends: a slow one is given up only for another.
+// Attempts that the proxy itself ends: a slow one is given up only for another, and ending one says nothing about its target.
 #include "front_fixture.h"
 
 #include <boost/test/unit_test.hpp>
@@ -29,6 +29,17 @@
     ScriptedTarget m_target;
 };
 
+std::uint32_t countFailures(const TargetUpdates &updates)
+{
+    std::uint32_t n = 0;
+    for (const auto &[service, observations] : updates) {
+        for (const TargetObservation &it : observations) {
+            n += it.failures;
+        }
+    }
+    return n;
+}
+
 } // namespace
 
 // A request was answered 504 after 0.6 s of its 4 s while its target was at work: it was given up for a retry that the budget refused.
@@ -60,3 +71,17 @@
     }
     BOOST_TEST(target.received() == 2U);
 }
+
+// Callers that left early made the proxy avoid the targets that were serving them.
+BOOST_AUTO_TEST_CASE(a_caller_that_leaves_is_no_evidence_against_the_target)
+{
+    SlowTarget target(300ms);
+    ProxyFixture fixture({.targets = {target.address()}});
+    {
+        RawCaller caller(fixture.port());
+        caller.send(makeRequest("GET", "/work"));
+        BOOST_REQUIRE(eventually([&] { return target.received() == 1; }));
+    }
+    BOOST_REQUIRE(eventually([&] { return fixture.metrics().value(Gauge::RequestsInFlight) == 0; }));
+    BOOST_TEST(countFailures(fixture.proxy().targetUpdates()) == 0U);
+}
