--- a/packages/proxy/tests/test_stop_phases.cpp
+++ b/packages/proxy/tests/test_stop_phases.cpp
@@ -560,6 +560,23 @@
     BOOST_TEST(target.requests().empty());
 }
 
+// A request whose deadline was a moment before the end was begun, and cut off before it by the last answers of the stop.
+BOOST_AUTO_TEST_CASE(a_late_request_that_is_begun_has_time_until_its_own_deadline)
+{
+    constexpr auto deadline = std::chrono::duration_cast<std::chrono::milliseconds>(endingStop.totalTime) - 75ms;
+    GatedTarget target;
+    ProxyFixture fixture({.targets = {target.address()}, .routeFields = longRoute});
+    RawCaller caller(fixture.port());
+    fixture.proxy().beginLeave(endingStop);
+    caller.send(makeOrder("/work", "Pollenspoke-Deadline-Ms: " + std::to_string(deadline.count()) + "\r\n"));
+    BOOST_REQUIRE(eventually([&] { return target.received() == 1 || fixture.metrics().refusals(RefusalReason::ShuttingDown) == 1; }));
+    std::future<bool> isDrained = finishStop(fixture.proxy());
+    const RawCaller::Response response = caller.readResponse();
+    BOOST_TEST((response.status == 503U || response.body.find("answer_timeout") != std::string::npos), response.body);
+    BOOST_TEST(response.header("Pollenspoke-Run") == (target.received() == 0 ? "not-run" : "unknown"));
+    isDrained.get();
+}
+
 // A process that was held up until after its end closed the connections of all requests in flight without an answer.
 BOOST_AUTO_TEST_CASE(requests_in_flight_are_answered_even_if_the_end_of_the_stop_is_noticed_late)
 {
