--- a/apps/tests/test_stop.cpp
+++ b/apps/tests/test_stop.cpp
@@ -116,8 +116,8 @@
     void startProcess(const std::string &settingsText)
     {
         const std::string file = folder.write("vm.yaml", "vm: {name: vm-1, failure_domain: fd-a}\nworkers: 1\n" + settingsText);
-        process = std::make_unique<Process>(
-            binaryPath("pollenspoked"), std::vector<std::string>{"--settings", file}, folder.path("vm.log"));
+        process
+            = std::make_unique<Process>(binaryPath("pollenspoked"), std::vector<std::string>{"--settings", file}, folder.path("vm.log"));
     }
 
     static unsigned expectedReadiness(StoreState storeState) { return storeState == StoreState::Filled ? 200 : 503; }
@@ -459,8 +459,8 @@
         std::signal(SIGPIPE, SIG_IGN); // a process that ended closes the pipe
         const std::string file = folder.path("vm.yaml");
         BOOST_REQUIRE(::mkfifo(file.c_str(), 0600) == 0);
-        process = std::make_unique<Process>(
-            binaryPath("pollenspoked"), std::vector<std::string>{"--settings", file}, folder.path("vm.log"));
+        process
+            = std::make_unique<Process>(binaryPath("pollenspoked"), std::vector<std::string>{"--settings", file}, folder.path("vm.log"));
         BOOST_REQUIRE(eventually([this, &file] { // can be opened once the process is reading
             pipe = ::open(file.c_str(), O_WRONLY | O_NONBLOCK | O_CLOEXEC);
             return pipe >= 0;
@@ -473,7 +473,8 @@
     // Lets the process go on. A later check of the settings finds a regular file.
     void finishSettings()
     {
-        const std::string resources = folder.write("resources.yaml", "kind: ClientAccount\nname: shop-1\nspec: {limits: {rate_per_s: 1, burst: 1}}\n");
+        const std::string resources
+            = folder.write("resources.yaml", "kind: ClientAccount\nname: shop-1\nspec: {limits: {rate_per_s: 1, burst: 1}}\n");
         const std::string text = "vm: {name: vm-1, failure_domain: fd-a}\nlisten: {callers: \"" + toString(closedPortAddress())
             + "\", operators: \"" + toString(operators) + "\"}\nplatform: {kind: embedded, resources: \"" + resources
             + "\"}\naddress_ttl_ms: 100\ndrain_timeout_ms: 1000\n";
