Daemon: SIGHUP never ends a process that is starting

A SIGHUP before the first configuration was in force (own object API), or while the settings were read, ended the process. The signals are blocked first now, and the wait for the configuration checks the settings on SIGHUP and goes on. apps.stop failed in both cases before (sighup_before_the_first_configuration_does_not_end_the_process, sighup_while_the_settings_are_read_does_not_end_the_process).

--- a/apps/pollenspoked/main.cpp
+++ b/apps/pollenspoked/main.cpp
@@ -41,13 +41,6 @@
     return status;
 }
 
-// True if a signal arrives within `timeout`; before serving, SIGHUP also stops the process.
-bool isStopRequested(const sigset_t &signals, std::chrono::nanoseconds timeout)
-{
-    const timespec timeoutSpec{.tv_sec = 0, .tv_nsec = timeout.count()};
-    return sigtimedwait(&signals, nullptr, &timeoutSpec) > 0;
-}
-
 // Listeners and tables are set up only at start, so a change isn't applied; an invalid file is reported now.
 void recheckSettings(const std::string &fileName)
 {
@@ -59,6 +52,17 @@
     }
 }
 
+// True if SIGTERM or SIGINT arrives within `timeout`.
+bool isStopRequested(const sigset_t &signals, const std::string &fileName, std::chrono::nanoseconds timeout)
+{
+    const timespec timeoutSpec{.tv_sec = 0, .tv_nsec = timeout.count()};
+    const int signal = sigtimedwait(&signals, nullptr, &timeoutSpec);
+    if (signal == SIGHUP) {
+        recheckSettings(fileName);
+    }
+    return signal == SIGTERM || signal == SIGINT;
+}
+
 // Blocks until SIGTERM or SIGINT.
 void waitForStop(const sigset_t &signals, const std::string &fileName)
 {
@@ -97,7 +101,7 @@
         return reportFailure(started.error(), Event::ListenFailed, ListenFailure);
     }
     while (!vm.waitForSnapshot(startPollInterval)) {
-        if (isStopRequested(signals, startPollInterval)) {
+        if (isStopRequested(signals, fileName, startPollInterval)) {
             return Success;
         }
     }
@@ -125,12 +129,12 @@
 int main(int argc, char **argv)
 {
     const auto arguments = docopt::docopt(usage, {argv + 1, argv + argc}, true, "pollenspoked 0.1.0");
+    const sigset_t signals = blockSignals(); // first, since SIGHUP may come at any time
     const std::string fileName = settingsFileName(arguments.at("--settings"));
     const Result<Settings> settings = loadSettings(fileName);
     if (!settings) {
         return reportFailure(settings.error(), Event::SettingsRefused, InvalidSettings);
     }
-    const sigset_t signals = blockSignals();
     setUpLogging(settings->log);
     logEvent(Event::VmStarting, {{"version", "0.1.0"}, {"settings", fileName}});
     if (const auto *shared = std::get_if<SharedPlatform>(&settings->platform); shared != nullptr && !arguments.at("--check").asBool()) {
