--- a/packages/proxy/src/session.cpp
+++ b/packages/proxy/src/session.cpp
@@ -337,19 +337,13 @@
                 refusal = abortRefusal(trace);
                 logAborted(*refusal, requestId, trace, reply.hasStarted(), m_shared.dependencies.clock.now() - receivedAt);
                 if (reply.hasStarted()) { // a part of a response must not look complete
-                    if (!reply.isReset()) {
-                        m_shared.dependencies.metrics.count(Counter::AnswersCut);
-                        reply.resetConnection();
-                    }
+                    cutResponse(reply);
                     co_return ConnectionAction::Drop;
                 }
             }
             if (isCallerGone && reply.hasStarted()) {
                 // The caller disconnected or stopped reading while its response was being sent. This doesn't count as a refusal.
-                if (!reply.isReset()) { // else the dispatch closed the connection and counted it
-                    m_shared.dependencies.metrics.count(Counter::AnswersCut);
-                    reply.resetConnection();
-                }
+                cutResponse(reply);
                 co_return ConnectionAction::Drop;
             }
             if (isCallerGone) {
@@ -470,6 +464,15 @@
     co_return co_await m_shared.dispatcher.dispatch(request, trace, reply);
 }
 
+// Ends the connection so that the part of the response that was sent can't look whole. The dispatch may have done so already.
+void Session::cutResponse(ReplyWriter &reply) const
+{
+    if (!reply.isReset()) {
+        m_shared.dependencies.metrics.count(Counter::AnswersCut);
+        reply.resetConnection();
+    }
+}
+
 // Catches all exceptions. In the parallel group with waitForCallerDisconnect(), an exception would be reported only after the
 // caller disconnects.
 net::awaitable<std::optional<Refusal>> Session::dispatchNoThrow(DispatchRequest request, DispatchTrace &trace, ReplyWriter &reply)
@@ -478,7 +481,7 @@
         co_return co_await admitAndDispatch(std::move(request), trace, reply);
     } catch (const std::exception &) {
         if (reply.hasStarted()) {
-            reply.resetConnection();
+            cutResponse(reply);
         }
     }
     co_return Refusal{.reason = RefusalReason::AnswerIncomplete,
--- a/packages/proxy/src/session.h
+++ b/packages/proxy/src/session.h
@@ -51,6 +51,7 @@
     net::awaitable<void> waitForCallerDisconnect();
     net::awaitable<void> waitForAbort();
     bool mayStart(TimePoint requestDeadline) const; // whether a planned stop, if any, leaves time for the request
+    void cutResponse(ReplyWriter &reply) const;
     Refusal abortRefusal(const DispatchTrace &trace) const;
     net::awaitable<void> closeWithLinger();
 
