Policy: a restored store starts the grace period of targets, however short its outage was

Callers would have been refused by Vms without targets: registrations written after the copy was made are lost with the return, but the grace period in which they are written again began only after an outage of 1.5 s, and ended at once when other Vms had reached the store meanwhile. Here the store itself lost the entries, whoever could reach it.

noteStoreRestored() starts the grace period always, a second return extends it also for targets already missing, and noteLocalOutage() no longer shortens that part of it.

Failed before: targets_that_a_restored_store_has_lost_stay_for_two_seconds_after_a_short_outage, store_access_of_other_vms_does_not_end_the_grace_period_of_a_restored_store, a_second_restored_copy_extends_the_grace_period. a_target_that_does_not_register_again_with_a_restored_store_is_gone_after_two_seconds bounds the other side; it passed.

--- a/packages/policy/include/pollenspoke/policy.h
+++ b/packages/policy/include/pollenspoke/policy.h
@@ -1056,7 +1056,8 @@
     std::map<TargetName, Departure> m_departures;
     std::optional<TimePoint> m_outageStartedAt;
     TimePoint m_graceUntil;
-    TimePoint m_restoredUntil; // end of the time in which the store may name targets that have left
+    TimePoint m_restoredGraceUntil; // part of m_graceUntil that the store itself caused
+    TimePoint m_restoredUntil;      // end of the time in which the store may name targets that have left
 };
 
 //-----------------------------------------------------------------------------
--- a/packages/policy/src/target_roster.cpp
+++ b/packages/policy/src/target_roster.cpp
@@ -26,17 +26,25 @@
 
 void TargetRoster::noteLocalOutage(TimePoint now)
 {
-    m_graceUntil = std::min(m_graceUntil, now);
+    const TimePoint end = std::max(now, m_restoredGraceUntil);
+    m_graceUntil = std::min(m_graceUntil, end);
     for (auto &[name, it] : m_entries) {
         if (it.removeAt) {
-            it.removeAt = std::min(*it.removeAt, now);
+            it.removeAt = std::min(*it.removeAt, end);
         }
     }
 }
 
 void TargetRoster::noteStoreRestored(TimePoint noticedAt)
 {
+    m_restoredGraceUntil = std::max(m_restoredGraceUntil, noticedAt + returnGrace);
+    m_graceUntil = std::max(m_graceUntil, m_restoredGraceUntil);
     m_restoredUntil = std::max(m_restoredUntil, noticedAt + departureMemory);
+    for (auto &[name, it] : m_entries) {
+        if (it.removeAt && *it.removeAt > noticedAt) {
+            it.removeAt = std::max(*it.removeAt, m_restoredGraceUntil); // what it has written to be kept may be lost again
+        }
+    }
 }
 
 // Until when `entry` can't be told from what an older copy says of the target.
--- a/packages/policy/tests/test_target_roster.cpp
+++ b/packages/policy/tests/test_target_roster.cpp
@@ -193,6 +193,66 @@
     BOOST_TEST(roster.targets(restoredAt + 3s).begin()->second.front().address.port == 1005U);
 }
 
+// Guards against running targets removed at the return of the store, whose registrations it lost, because it was away only shortly.
+BOOST_AUTO_TEST_CASE(targets_that_a_restored_store_has_lost_stay_for_two_seconds_after_a_short_outage)
+{
+    TargetRoster roster;
+    roster.replaceAll({makeNumbered("a", 5), makeNumbered("b", 3)}, start);
+    roster.noteStoreUnreachable(restoredAt - 300ms);
+    roster.noteStoreRestored(restoredAt);
+    roster.noteStoreReachable(restoredAt);
+    roster.replaceAll({makeNumbered("b", 3)}, restoredAt);
+    BOOST_TEST(roster.isInGracePeriod(restoredAt));
+    BOOST_TEST(isServing(roster, "a", restoredAt + 2s));
+    roster.put(makeNumbered("a", 6), restoredAt + 2s);
+    BOOST_TEST(isServing(roster, "a", restoredAt + 3s));
+    BOOST_TEST(countTargets(roster, restoredAt + 3s) == 2U);
+}
+
+// Guards against requests to a target that ended while the store was away: missing after the grace period means gone.
+BOOST_AUTO_TEST_CASE(a_target_that_does_not_register_again_with_a_restored_store_is_gone_after_two_seconds)
+{
+    TargetRoster roster;
+    roster.replaceAll({makeNumbered("a", 5), makeNumbered("b", 3)}, start);
+    roster.noteStoreRestored(restoredAt);
+    roster.replaceAll({makeNumbered("b", 3)}, restoredAt);
+    BOOST_TEST(!isServing(roster, "a", restoredAt + 2500ms));
+    roster.put(makeNumbered("a", 5), restoredAt + 3s);
+    BOOST_TEST(!isServing(roster, "a", restoredAt + 3s));
+}
+
+// Guards against running targets removed at once: other Vms reached the store during the outage, but it has lost the registrations.
+BOOST_AUTO_TEST_CASE(store_access_of_other_vms_does_not_end_the_grace_period_of_a_restored_store)
+{
+    TargetRoster roster;
+    roster.replaceAll({makeNumbered("a", 5), makeNumbered("b", 3)}, start);
+    roster.noteStoreUnreachable(restoredAt - 3s);
+    roster.noteStoreRestored(restoredAt);
+    roster.noteStoreReachable(restoredAt);
+    roster.replaceAll({makeNumbered("b", 3)}, restoredAt);
+    roster.noteLocalOutage(restoredAt + 100ms);
+    BOOST_TEST(roster.isInGracePeriod(restoredAt + 100ms));
+    BOOST_TEST(isServing(roster, "a", restoredAt + 2s));
+    roster.noteLocalOutage(restoredAt + 2100ms);
+    BOOST_TEST(!isServing(roster, "a", restoredAt + 2500ms));
+}
+
+// Guards against running targets removed after a second return of the store, which loses what they wrote after the first one.
+BOOST_AUTO_TEST_CASE(a_second_restored_copy_extends_the_grace_period)
+{
+    TargetRoster roster = makeRosterWithDeparture();
+    roster.put(makeNumbered("c", 1), restoredAt);
+    roster.replaceAll({makeNumbered("a", 5), makeNumbered("b", 3)}, restoredAt);
+    roster.noteStoreRestored(restoredAt + 2s);
+    roster.replaceAll({makeNumbered("a", 5)}, restoredAt + 2s);
+    BOOST_TEST(isServing(roster, "b", restoredAt + 4s));
+    BOOST_TEST(isServing(roster, "c", restoredAt + 4s));
+    BOOST_TEST(!isServing(roster, "a", restoredAt + 4s));
+    roster.put(makeNumbered("c", 2), restoredAt + 4s);
+    BOOST_TEST(!isServing(roster, "b", restoredAt + 5s));
+    BOOST_TEST(isServing(roster, "c", restoredAt + 5s));
+}
+
 // Guards against requests to a target whose removal was pending when the store was restored from a copy that names it.
 BOOST_AUTO_TEST_CASE(a_copy_that_names_a_target_whose_removal_is_pending_does_not_keep_it)
 {
