Configuration: one report of the older declarations of a restored store; the document in force can be handed on

A restored store offers an older version with each of its lists until the operator has written the newest one again. The version in force is kept, as before, but each list gave an error line and counted as refused: an alarm for what is expected. A version is now reported once while the same declarations are in force, at info level after a return. Equal versions are taken without a report, lower ones that the operator writes again in order are refused, and invalid documents replace nothing; all of that is tested now.

--- a/packages/fleet/src/configuration.cpp
+++ b/packages/fleet/src/configuration.cpp
@@ -14,6 +14,25 @@
     logEvent(Event::ObjectSkipped, {{"object", object}, {"version", version}, {"error", describe(error)}}, LogLevel::Warning);
 }
 
+void Configuration::noteStoreRestored(TimePoint noticedAt)
+{
+    m_roster.noteStoreRestored(noticedAt);
+    m_isStoreBehind = m_declarations.has_value();
+}
+
+// A restored store repeats an older version with each list until the operator has written the newest one again.
+void Configuration::reportOutdated(std::uint64_t version)
+{
+    if (version == m_lastOutdatedVersion) {
+        return;
+    }
+    m_lastOutdatedVersion = version;
+    m_metrics.count(Counter::SnapshotsRefused);
+    logEvent(Event::SnapshotRefused,
+             {{"offered", std::to_string(version)}, {"in_force", std::to_string(m_declarations->version)}},
+             m_isStoreBehind ? LogLevel::Info : LogLevel::Error);
+}
+
 void Configuration::applyDeclarations(const StoredDocument &document)
 {
     const std::string revision = std::to_string(document.revision);
@@ -23,10 +42,7 @@
         return;
     }
     if (m_declarations && declarations->version < m_declarations->version) {
-        m_metrics.count(Counter::SnapshotsRefused);
-        logEvent(Event::SnapshotRefused,
-                 {{"offered", std::to_string(declarations->version)}, {"in_force", std::to_string(m_declarations->version)}},
-                 LogLevel::Error);
+        reportOutdated(declarations->version);
         return;
     }
     if (const Result<void> checked = checkReferences(declarations->objects); !checked) {
@@ -34,8 +50,13 @@
         return;
     }
     m_declarationsRevision = document.revision;
-    m_declarationsChanged = m_declarationsChanged || !m_declarations || m_declarations->version != declarations->version;
+    if (!m_declarations || m_declarations->version != declarations->version) {
+        m_declarationsChanged = true;
+        m_isStoreBehind = false;
+        m_lastOutdatedVersion = 0;
+    }
     m_declarations = std::move(*declarations);
+    m_declarationsDocument = document;
 }
 
 std::optional<RosterEntry> Configuration::decodeTarget(const StoredDocument &document)
--- /dev/null
+++ b/packages/fleet/tests/test_configuration.cpp
@@ -0,0 +1,190 @@
+// Declarations and targets in force, also while the store is restored from an older copy.
+#include "configuration.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace Pollenspoke;
+using namespace std::chrono_literals;
+
+namespace {
+
+const TimePoint start{1h};
+const ServiceName service{"stock"};
+
+/// Declarations have a version and the name of the only service; targets a state and a sequence.
+class FakeFormat final : public PlatformFormat
+{
+public:
+    std::string declarationsKind() const override { return "declarations"; }
+    std::string declarationsName() const override { return "main"; }
+    std::string targetsKind() const override { return "targets"; }
+    std::string vmsKind() const override { return "vms"; }
+
+    Result<Declarations> decodeDeclarations(const JsonValue &spec) const override
+    {
+        const JsonValue *version = spec.find("version");
+        const JsonValue *routedService = spec.find("service");
+        if (version == nullptr || routedService == nullptr) {
+            return tl::unexpected(Error{.code = ErrorCode::MissingField, .path = "declarations", .detail = "is incomplete"});
+        }
+        const Route route{.host = "stock.example", .pathPrefix = "/", .service = {routedService->text}, .isAnonymous = true};
+        return Declarations{.version = static_cast<std::uint64_t>(version->number),
+                            .objects = {{.name = service.value, .spec = Service()}, {.name = "r-1", .spec = route}}};
+    }
+
+    Result<TargetRecord> decodeTarget(const std::string &name, const JsonValue &spec) const override
+    {
+        const JsonValue *state = spec.find("state");
+        const JsonValue *sequence = spec.find("sequence");
+        if (state == nullptr || sequence == nullptr) {
+            return tl::unexpected(Error{.code = ErrorCode::MissingField, .path = "target " + name, .detail = "is incomplete"});
+        }
+        const Target target{.name = {name},
+                            .address = {.ip = "10.0.0.1", .port = 80},
+                            .slots = 2,
+                            .state = state->text == "ready" ? TargetState::Serving : TargetState::Leaving};
+        const RegistrationNumber number{.startedAtMs = 1790000000000, .sequence = static_cast<std::uint64_t>(sequence->number)};
+        return TargetRecord{.entry = {.service = service, .target = target, .number = number}};
+    }
+
+    std::string readinessPath() const override { return "/ready"; }
+    std::string addressPath() const override { return "/addresses"; }
+    FailureDomain decodeAddressQuery(const std::string & /*query*/) const override { return {}; }
+    std::string formatAddresses(const std::vector<Address> & /*addresses*/, Duration /*ttl*/) const override { return {}; }
+};
+
+StoredDocument makeDeclarations(std::uint64_t version, const std::string &routedService = service.value)
+{
+    JsonValue spec = JsonValue::makeObject();
+    spec.addNumber("version", static_cast<double>(version));
+    spec.add("service", routedService);
+    return {.name = "main", .spec = spec};
+}
+
+StoredDocument makeTarget(const std::string &name, std::uint64_t sequence, const std::string &state = "ready")
+{
+    JsonValue spec = JsonValue::makeObject();
+    spec.add("state", state);
+    spec.addNumber("sequence", static_cast<double>(sequence));
+    return {.name = name, .spec = spec};
+}
+
+StoredDocument makeUnreadable(const std::string &name)
+{
+    return {.name = name, .spec = JsonValue::makeObject()};
+}
+
+struct Fixture
+{
+    std::vector<std::string> servingNames(TimePoint now)
+    {
+        std::vector<std::string> names;
+        const auto targets = configuration.roster().targets(now);
+        const auto match = targets.find(service);
+        for (const Target &it : match == targets.end() ? std::vector<Target>() : match->second) {
+            if (it.state == TargetState::Serving) {
+                names.push_back(it.name.value);
+            }
+        }
+        return names;
+    }
+
+    const FakeFormat format;
+    Metrics metrics;
+    Configuration configuration{format, metrics};
+};
+
+using Names = std::vector<std::string>;
+
+} // namespace
+
+// Guards against a route that is out of force for as long as the restored store lacks the change that added it.
+BOOST_FIXTURE_TEST_CASE(declarations_stay_in_force_while_a_restored_store_has_an_older_version, Fixture)
+{
+    BOOST_TEST(configuration.declarationsVersion() == 0U);
+    BOOST_TEST(!configuration.declarationsDocument().has_value());
+    configuration.applyDeclarations(makeDeclarations(7));
+    configuration.noteStoreRestored(start);
+    configuration.applyDeclarations(makeDeclarations(4));
+    BOOST_TEST(configuration.declarationsVersion() == 7U);
+    BOOST_REQUIRE(configuration.declarationsDocument().has_value());
+    BOOST_TEST((configuration.declarationsDocument()->spec == makeDeclarations(7).spec));
+}
+
+// Guards against a step back when the operator writes the lost versions again one after the other.
+BOOST_FIXTURE_TEST_CASE(versions_that_are_written_again_in_order_do_not_replace_the_newest, Fixture)
+{
+    configuration.applyDeclarations(makeDeclarations(7));
+    configuration.noteStoreRestored(start);
+    for (const std::uint64_t it : {4, 5, 6, 7}) {
+        configuration.applyDeclarations(makeDeclarations(it));
+        BOOST_TEST(configuration.declarationsVersion() == 7U);
+    }
+    configuration.applyDeclarations(makeDeclarations(9));
+    BOOST_TEST(configuration.declarationsVersion() == 9U);
+    BOOST_TEST((configuration.declarationsDocument()->spec == makeDeclarations(9).spec));
+}
+
+// Guards against an alarm for each list of a restored store, and for the same version written again.
+BOOST_FIXTURE_TEST_CASE(an_older_version_of_a_restored_store_is_reported_once, Fixture)
+{
+    configuration.applyDeclarations(makeDeclarations(7));
+    configuration.noteStoreRestored(start);
+    for (int i = 0; i < 5; ++i) {
+        configuration.applyDeclarations(makeDeclarations(4));
+    }
+    BOOST_TEST(metrics.value(Counter::SnapshotsRefused) == 1U);
+    configuration.applyDeclarations(makeDeclarations(7));
+    configuration.applyDeclarations(makeDeclarations(4));
+    BOOST_TEST(metrics.value(Counter::SnapshotsRefused) == 1U);
+    configuration.applyDeclarations(makeDeclarations(9));
+    configuration.applyDeclarations(makeDeclarations(4));
+    BOOST_TEST(metrics.value(Counter::SnapshotsRefused) == 2U);
+}
+
+// Guards against an invalid document that takes the place of valid declarations, whatever its version.
+BOOST_FIXTURE_TEST_CASE(invalid_declarations_never_replace_those_in_force, Fixture)
+{
+    configuration.applyDeclarations(makeDeclarations(7));
+    configuration.noteStoreRestored(start);
+    configuration.applyDeclarations(makeDeclarations(7, "no-such-service"));
+    configuration.applyDeclarations(makeDeclarations(8, "no-such-service"));
+    configuration.applyDeclarations(makeUnreadable("main"));
+    BOOST_TEST(configuration.declarationsVersion() == 7U);
+    BOOST_REQUIRE(configuration.declarationsDocument().has_value());
+    BOOST_TEST((configuration.declarationsDocument()->spec == makeDeclarations(7).spec));
+    BOOST_TEST(metrics.value(Counter::ObjectsSkipped) == 3U);
+}
+
+// Guards against a running target that is dropped because the copy has an unreadable document under its name.
+BOOST_FIXTURE_TEST_CASE(an_unreadable_registration_in_a_restored_store_does_not_remove_the_target, Fixture)
+{
+    configuration.replaceTargets({.items = {makeTarget("a", 5), makeTarget("b", 3)}}, start);
+    configuration.noteStoreRestored(start + 10s);
+    configuration.replaceTargets({.items = {makeUnreadable("a"), makeTarget("b", 3)}}, start + 10s);
+    configuration.applyTargetChange({.document = makeUnreadable("b")}, start + 10s);
+    BOOST_TEST((servingNames(start + 12s) == Names{"a", "b"}));
+    configuration.applyTargetChange({.document = makeTarget("a", 6)}, start + 12s);
+    configuration.applyTargetChange({.document = makeTarget("b", 4)}, start + 12s);
+    BOOST_TEST((servingNames(start + 20s) == Names{"a", "b"}));
+}
+
+// Guards against requests to targets that left: the list and the changes of a restored store name them as ready.
+BOOST_FIXTURE_TEST_CASE(targets_that_left_are_not_used_again_because_a_restored_store_names_them, Fixture)
+{
+    configuration.replaceTargets({.items = {makeTarget("a", 5), makeTarget("b", 3), makeTarget("c", 1)}}, start);
+    configuration.applyTargetChange({.isDeleted = true, .document = {.name = "a"}}, start + 5s);
+    configuration.applyTargetChange({.document = makeTarget("b", 4, "draining")}, start + 6s);
+    BOOST_TEST((servingNames(start + 6s) == Names{"c"}));
+    configuration.noteStoreRestored(start + 10s);
+    configuration.replaceTargets({.items = {makeTarget("a", 5), makeTarget("b", 3), makeTarget("c", 1)}}, start + 10s);
+    BOOST_TEST((servingNames(start + 10s) == Names{"c"}));
+    configuration.applyTargetChange({.document = makeTarget("a", 5)}, start + 11s);
+    BOOST_TEST((servingNames(start + 11s) == Names{"c"}));
+    BOOST_TEST(configuration.departures(start + 11s).size() == 2U);
+
+    Configuration startedLater(format, metrics);
+    startedLater.replaceTargets({.items = {makeTarget("a", 5), makeTarget("b", 3), makeTarget("c", 1)}}, start + 11s);
+    startedLater.applyDepartures(configuration.departures(start + 11s), start + 11s);
+    BOOST_TEST(startedLater.roster().targets(start + 11s)[service].size() == 1U);
+}
