--- a/packages/fleet/tests/test_configuration.cpp
+++ b/packages/fleet/tests/test_configuration.cpp
@@ -89,7 +89,7 @@
         return names;
     }
 
-    const FakeFormat format;
+    FakeFormat format;
     Metrics metrics;
     Configuration configuration{format, metrics};
 };
