Fleet: registrations that a restored store lost keep their seats and are written again

What callers would see: the copy lacks the registrations of Vms that joined in the last seconds. The others dropped them and gave their seats to other Vms, so that two Vms held one seat for a moment, and an account's rate was granted twice; or, after a watch across the restore, the registration was never written again, and the Vm got no more callers.

Now members whose registrations a list or difference of a later era lacks stay members for 5 s, plus the time over which their writes are spread, and are removed then. Each owner writes its registration again after a random delay that grows by 10 ms with each lost one, so that the store sees no burst. A registration names the era in which its Vm joined and, when it is written again, the revision, too: by the revisions that a restored store gives out again a newcomer would outrank Vms that joined before it. The comparison of a Vm's own registration ignores both, so a restart needs no write.

Not covered: a Vm that starts while registrations are missing learns of those members only when they are written again.

--- a/packages/fleet/src/feed.h
+++ b/packages/fleet/src/feed.h
@@ -103,6 +103,7 @@
     FeedReply answerRequest(const FeedRequest &request) const;
     void handleReply(const FeedReply &reply);
 
+    StorePosition newestPosition() const;                                 // up to which any kind is known
     TimePoint lastStoreContactAt() const { return m_lastStoreContactAt; } // when the store last answered this Vm or one of its sources
 
 private:
@@ -120,7 +121,6 @@
     bool isStoreWatcher() const;
     bool isInStartupGrace() const;
     const Member *chooseSource();
-    StorePosition newestPosition() const;
     Call<DocumentChanges> watchStore(std::string kind, StorePosition since, Duration wait);
     boost::asio::awaitable<void> poll();
     boost::asio::awaitable<void> pollOnce();
--- a/packages/fleet/src/fleet_vm.cpp
+++ b/packages/fleet/src/fleet_vm.cpp
@@ -23,16 +23,34 @@
 constexpr double maxMillicores = 1e6;                                // plausibility limit for a registration
 constexpr auto deregistrationTimeout = std::chrono::seconds(90);     // a Vm without reports for this long is removed from the store
 
-JsonValue encodeRegistration(const VmRegistration &registration)
+// `joinedAt`: position of the Vm's first registration, so that the registration keeps its rank if a restored store lost it; without a
+// revision in a first registration, which gets its revision from the store.
+JsonValue encodeRegistration(const VmRegistration &registration, const StorePosition &joinedAt)
 {
     JsonValue spec = JsonValue::makeObject();
     spec.add("callers", toString(registration.callers));
     spec.add("peers", toString(registration.peers));
     spec.add("failure_domain", registration.failureDomain.value);
     spec.addNumber("millicores", registration.millicores);
+    spec.addNumber("joined_era", static_cast<double>(joinedAt.era()));
+    if (joinedAt.revision() != 0) {
+        spec.addNumber("joined_revision", static_cast<double>(joinedAt.revision()));
+    }
     return spec;
 }
 
+StorePosition decodeJoinedAt(const StoredDocument &document)
+{
+    constexpr double maxNumber = 9e15; // that a double represents exactly
+    const auto number = [&document](const char *name) -> std::optional<std::uint64_t> {
+        const JsonValue *value = document.spec.find(name);
+        const bool isNumber
+            = value != nullptr && value->type == JsonValue::Type::Number && value->number >= 0 && value->number <= maxNumber;
+        return isNumber ? std::optional(static_cast<std::uint64_t>(value->number)) : std::nullopt;
+    };
+    return {number("joined_era").value_or(0), number("joined_revision").value_or(document.created)};
+}
+
 std::optional<VmRegistration> decodeRegistration(const JsonValue &spec)
 {
     const auto text = [&spec](const char *name) {
@@ -87,7 +105,8 @@
     void applyRegistrationChange(const DocumentChange &change);
     VmRegistration ownRegistration() const;
     void publishMembers();
-    net::awaitable<void> registerSelf(std::optional<StoredDocument> existing);
+    void registerIfNeeded();
+    net::awaitable<void> registerSelf();
     void publishConfiguration();
     net::awaitable<void> applyRosterExpiry();
     net::awaitable<void> reportStatus();
@@ -118,6 +137,9 @@
     std::optional<PageServer> metricsPage;
     StorePosition newestChange;                            // of the declarations and targets
     std::map<VmName, std::uint64_t> registrationRevisions; // store revision of each Vm's registration, in the store's present era
+    std::optional<StoredDocument> ownDocument;             // this Vm's registration as last seen in the store
+    StorePosition joinedAt;                                // of this Vm's first registration; the default: not registered yet
+    bool mustRegister = false;                             // the store lacks this Vm's registration or has another one
     bool isRegistering = false;
     bool isStoreUnavailable = false;
     TimePoint lastPeerReportAt;
@@ -126,6 +148,7 @@
     TargetReportSchedule reportSchedule;
     std::atomic<bool> hasSnapshot{false};
     std::atomic<bool> isLeaving{false};
+    Generator generator{std::random_device{}()};
     std::thread thread;
 };
 
@@ -217,7 +240,7 @@
               {"missing", std::to_string(change.missingDocuments)}},
              LogLevel::Warning);
     if (kind == format.vmsKind()) {
-        registrationRevisions.clear();
+        members.noteStoreRestored(clock.now());
     }
 }
 
@@ -266,7 +289,11 @@
                       .onEraChanged = onEraChanged(format.targetsKind())};
     vmsHandler = {.onListed = [this](const DocumentList &list) { applyRegistrationList(list); },
                   .onChange = [this](const DocumentChange &change) { applyRegistrationChange(change); },
-                  .onUpdated = [this] { publishMembers(); },
+                  .onUpdated =
+                      [this] {
+                          registerIfNeeded();
+                          publishMembers();
+                      },
                   .onCallFailed = onCallFailed,
                   .onCallSucceeded = onCallSucceeded,
                   .onEraChanged = onEraChanged(format.vmsKind())};
@@ -288,7 +315,7 @@
     if (!first) {
         recordStoreCall(false, describe(first.error())); // applyRegistrationList() registers
     } else if (!findRegistration(*first)) {
-        const JsonValue spec = encodeRegistration(ownRegistration());
+        const JsonValue spec = encodeRegistration(ownRegistration(), {first->position.era(), 0});
         const Result<StoredDocument> created = co_await feed.create(format.vmsKind(), options.proxy.vm.value, spec);
         if (created) {
             net::steady_timer timer(context, joinDelay);
@@ -333,21 +360,17 @@
 void FleetVm::Impl::applyRegistrationList(const DocumentList &list)
 {
     std::vector<std::pair<RegisteredVm, VmRegistration>> vms;
-    std::optional<StoredDocument> own = findRegistration(list);
+    ownDocument = findRegistration(list);
     registrationRevisions.clear();
     for (const StoredDocument &it : list.items) {
         const VmName name{it.name};
         registrationRevisions[name] = it.revision;
         if (const auto registration = decodeRegistration(it.spec)) {
-            vms.emplace_back(RegisteredVm{name, registration->failureDomain, it.created, registration->millicores}, *registration);
+            vms.emplace_back(RegisteredVm{name, registration->failureDomain, decodeJoinedAt(it), registration->millicores}, *registration);
         }
     }
     members.replaceAll(vms, clock.now());
-    const bool isRegistered = own && decodeRegistration(own->spec) == ownRegistration();
-    if (!isRegistered && !isRegistering) {
-        isRegistering = true;
-        net::co_spawn(context, registerSelf(std::move(own)), net::detached);
-    }
+    mustRegister = !ownDocument || decodeRegistration(ownDocument->spec) != ownRegistration();
 }
 
 void FleetVm::Impl::applyRegistrationChange(const DocumentChange &change)
@@ -358,14 +381,29 @@
     if (!registration) {
         registrationRevisions.erase(name);
         members.remove(name);
-        if (members.isSelf(name) && !isRegistering && !isLeaving) {
-            isRegistering = true;
-            net::co_spawn(context, registerSelf(std::nullopt), net::detached);
+        if (members.isSelf(name)) {
+            ownDocument = change.isDeleted ? std::nullopt : std::optional(document);
+            mustRegister = true;
         }
         return;
     }
     registrationRevisions[name] = document.revision;
-    members.put({name, registration->failureDomain, document.created, registration->millicores}, *registration, clock.now());
+    members.put({name, registration->failureDomain, decodeJoinedAt(document), registration->millicores}, *registration, clock.now());
+    if (members.isSelf(name)) {
+        ownDocument = document;
+        mustRegister = members.isInRestoreGrace() && *registration != ownRegistration(); // else another process has this name
+    }
+}
+
+void FleetVm::Impl::registerIfNeeded()
+{
+    if (ownDocument && decodeRegistration(ownDocument->spec)) {
+        joinedAt = decodeJoinedAt(*ownDocument);
+    }
+    if (mustRegister && !isRegistering && !isLeaving) {
+        isRegistering = true;
+        net::co_spawn(context, registerSelf(), net::detached);
+    }
 }
 
 VmRegistration FleetVm::Impl::ownRegistration() const
@@ -389,19 +427,28 @@
     sendReport(members.reportReceivers(), std::nullopt); // announces a restarted Vm at once instead of after a full status period
 }
 
-net::awaitable<void> FleetVm::Impl::registerSelf(std::optional<StoredDocument> existing)
+// Vms whose registrations a restore lost notice it at the same time, so each waits for a random time that grows with their number.
+net::awaitable<void> FleetVm::Impl::registerSelf()
 {
     net::steady_timer timer(context);
-    const JsonValue spec = encodeRegistration(ownRegistration());
-    for (;;) {
+    std::uniform_real_distribution<double> factor(0, 1);
+    timer.expires_after(std::chrono::duration_cast<Duration>(Members::rewriteInterval * members.missingCount() * factor(generator)));
+    co_await timer.async_wait(net::use_awaitable);
+    while (mustRegister && !isLeaving) { // else the store has it, from an earlier write without an answer
         const std::string &name = options.proxy.vm.value;
+        const StorePosition rank = joinedAt == StorePosition() ? StorePosition(feed.newestPosition().era(), 0) : joinedAt;
+        const JsonValue spec = encodeRegistration(ownRegistration(), rank);
         Result<StoredDocument> written; // no conditional expression: GCC 12 destroys its awaited temporaries twice
-        if (existing) {
-            written = co_await feed.replace(format.vmsKind(), name, spec, existing->revision);
+        if (ownDocument) {
+            written = co_await feed.replace(format.vmsKind(), name, spec, ownDocument->revision);
         } else {
             written = co_await feed.create(format.vmsKind(), name, spec);
         }
+        if (written && members.isInRestoreGrace()) {
+            logEvent(Event::StoreEraChanged, {{"kind", format.vmsKind()}, {"written_again", name}, {"joined", toString(rank)}});
+        }
         if (written || written.error().code == ErrorCode::VersionConflict) {
+            mustRegister = false;
             break; // on a conflict, an earlier write took effect without an answer, or another process has this name
         }
         logEvent(Event::StoreUnavailable, {{"call", "register"}, {"error", describe(written.error())}}, LogLevel::Warning);
@@ -420,6 +467,9 @@
         timer.expires_after(options.statusPeriod);
         co_await timer.async_wait(net::use_awaitable);
         const TimePoint now = clock.now();
+        if (members.removeExpired(now)) {
+            publishMembers();
+        }
         for (const VmName &it : members.seatHolders()) {
             lastPeerReportAt = members.isSelf(it) ? lastPeerReportAt : std::max(lastPeerReportAt, members.find(it)->lastReportAt);
         }
@@ -429,8 +479,12 @@
             continue;
         }
         for (const VmName &it : members.lostVms(deregistrationTimeout, now)) {
+            const auto revision = registrationRevisions.find(it);
+            if (revision == registrationRevisions.end()) {
+                continue; // lost in a restore
+            }
             logEvent(Event::VmForgotten, {{"vm", it.value}});
-            const auto removed = co_await feed.remove(format.vmsKind(), it.value, registrationRevisions[it]);
+            const auto removed = co_await feed.remove(format.vmsKind(), it.value, revision->second);
             if (!removed) {
                 logEvent(Event::StoreUnavailable, {{"call", "remove"}, {"error", describe(removed.error())}}, LogLevel::Warning);
                 break; // the next period tries again
--- a/packages/fleet/src/members.cpp
+++ b/packages/fleet/src/members.cpp
@@ -19,8 +19,13 @@
     for (const auto &[vm, registration] : vms) {
         listed.insert(vm.name);
     }
-    std::erase_if(m_members, [&listed](const auto &member) { return !listed.contains(member.first); });
-    m_seatHolders.reset();
+    std::vector<VmName> unlisted;
+    for (const auto &[name, member] : m_members) {
+        if (!listed.contains(name)) {
+            unlisted.push_back(name);
+        }
+    }
+    std::for_each(unlisted.begin(), unlisted.end(), [this](const VmName &it) { remove(it); });
     for (const auto &[vm, registration] : vms) {
         put(vm, registration, now);
     }
@@ -31,13 +36,43 @@
     Member &member = m_members.try_emplace(vm.name, Member{.name = vm.name, .lastReportAt = now}).first->second;
     member.registration = registration;
     member.registeredAt = vm.registeredAt;
+    member.isMissing = false;
     m_seatHolders.reset();
 }
 
 void Members::remove(const VmName &vm)
 {
-    m_members.erase(vm);
+    const auto it = m_members.find(vm);
+    if (it == m_members.end()) {
+        return;
+    }
+    if (m_restoredAt) {
+        it->second.isMissing = true;
+    } else {
+        m_members.erase(it);
+        m_seatHolders.reset();
+    }
+}
+
+void Members::noteStoreRestored(TimePoint now)
+{
+    m_restoredAt = now;
+}
+
+bool Members::removeExpired(TimePoint now)
+{
+    if (!m_restoredAt || now - *m_restoredAt <= registrationGrace + rewriteInterval * missingCount()) {
+        return false;
+    }
+    m_restoredAt.reset();
+    const std::size_t removed = std::erase_if(m_members, [](const auto &it) { return it.second.isMissing; });
     m_seatHolders.reset();
+    return removed > 0;
+}
+
+std::size_t Members::missingCount() const
+{
+    return static_cast<std::size_t>(std::count_if(m_members.begin(), m_members.end(), [](const auto &it) { return it.second.isMissing; }));
 }
 
 bool Members::hadStoreAccessSince(TimePoint since, TimePoint now) const
--- a/packages/fleet/src/members.h
+++ b/packages/fleet/src/members.h
@@ -19,11 +19,12 @@
 {
     VmName name;
     VmRegistration registration;
-    std::uint64_t registeredAt = 0;               // store revision of the registration
+    StorePosition registeredAt;                   // first registration
     TimePoint lastReportAt;                       // initially the time at which it was first listed
     std::optional<TimePoint> storeReachableSince; // from its last report; empty: the store is unreachable
     StorePosition newestChange;                   // newest change of the store it has, from its last report
     bool isLeaving = false;
+    bool isMissing = false; // the restored store lacks its registration
 };
 
 /// The known Vms of the fleet, this Vm included. Seat holders are the subset that callers are sent to and that holds the rate
@@ -34,11 +35,21 @@
     static constexpr Duration freshReportAge = std::chrono::milliseconds(1500); // a Vm that reported this recently is expected to answer
     static constexpr Duration usualReportAge = std::chrono::milliseconds(500);  // of reports that aren't overdue; half a status period
 
+    /// After the store was restored from an older copy, Vms whose registrations it lacks stay members for this time, so that they can
+    /// register again and keep their seats. Covers the time until all Vms have noticed; see rewriteInterval.
+    static constexpr Duration registrationGrace = std::chrono::seconds(5);
+    static constexpr Duration rewriteInterval = std::chrono::milliseconds(10); // on average, between the writes of lost registrations
+
     Members(VmName self, FailureDomain domain, Duration silenceLimit);
 
     void replaceAll(const std::vector<std::pair<RegisteredVm, VmRegistration>> &vms, TimePoint now);
     void put(const RegisteredVm &vm, const VmRegistration &registration, TimePoint now);
     void remove(const VmName &vm);
+
+    void noteStoreRestored(TimePoint now); // from now on, members that are removed or not listed count as missing
+    bool removeExpired(TimePoint now);     // ends the grace of missing members; true when some were removed
+    std::size_t missingCount() const;
+    bool isInRestoreGrace() const { return m_restoredAt.has_value(); }
     void recordReport(const VmName &vm, bool isLeaving, Duration storeReachableFor, StorePosition newestChange, TimePoint now);
     void recordContact(const VmName &vm, bool isLeaving, TimePoint now); // a message other than a report
 
@@ -86,8 +97,9 @@
     FailureDomain m_domain;
     Duration m_silenceLimit;
     bool m_isLeaving = false;
-    bool m_hasStore = true;             // by its own calls; assumed until one fails
-    std::map<VmName, Member> m_members; // including this Vm
+    bool m_hasStore = true;                // by its own calls; assumed until one fails
+    std::map<VmName, Member> m_members;    // including this Vm
+    std::optional<TimePoint> m_restoredAt; // empty: no grace
     std::optional<TimePoint> m_removesHoldersSince;
     std::optional<TimePoint> m_removesDomainSince;
     mutable std::optional<std::vector<VmName>> m_seatHolders; // cached; empty: registrations changed
--- a/packages/fleet/tests/test_members.cpp
+++ b/packages/fleet/tests/test_members.cpp
@@ -21,7 +21,7 @@
         const FailureDomain domain{i % 2 == 0 ? "fd-a" : "fd-b"};
         const VmName name{i == n ? "self" : "vm-" + std::to_string(i)};
         const Address address{.ip = "10.0.0." + std::to_string(i + 1), .port = 80};
-        members.put({name, domain, i + 1}, {.callers = address, .peers = address, .failureDomain = domain}, start);
+        members.put({name, domain, {1, i + 1}}, {.callers = address, .peers = address, .failureDomain = domain}, start);
     }
     return members;
 }
@@ -31,7 +31,7 @@
 {
     Members members = makeMembers(n);
     const Address address{.ip = "10.0.0.250", .port = 80};
-    members.put({{"self"}, {"fd-a"}, 0}, {.callers = address, .peers = address, .failureDomain = {"fd-a"}}, start);
+    members.put({{"self"}, {"fd-a"}, {}}, {.callers = address, .peers = address, .failureDomain = {"fd-a"}}, start);
     return members;
 }
 
@@ -47,7 +47,7 @@
     for (std::size_t i = 0; i < largeFleetSize; ++i) {
         const Address address{.ip = "10.0.0.1", .port = 80};
         const std::uint32_t millicores = i < 18 ? 500 : 100;
-        members.put({{"vm-" + std::to_string(i)}, domainOf(i), i + 1, millicores},
+        members.put({{"vm-" + std::to_string(i)}, domainOf(i), {1, i + 1}, millicores},
                     {.callers = address, .peers = address, .failureDomain = domainOf(i), .millicores = millicores},
                     start);
     }
@@ -242,3 +242,81 @@
     BOOST_TEST((std::find(watchers.begin(), watchers.end(), VmName{"vm-0"}) == watchers.end()));
     BOOST_TEST((std::find(watchers.begin(), watchers.end(), VmName{"vm-1"}) == watchers.end()));
 }
+
+namespace {
+
+using Registrations = std::vector<std::pair<RegisteredVm, VmRegistration>>;
+
+// Those of vm-0, vm-1, ..., as in makeMembers(), as far as the restored store has them.
+Registrations restoredRegistrations(std::size_t n)
+{
+    Registrations registrations;
+    for (std::size_t i = 0; i < n; ++i) {
+        const FailureDomain domain{i % 2 == 0 ? "fd-a" : "fd-b"};
+        registrations.push_back({{{"vm-" + std::to_string(i)}, domain, {1, i + 1}}, {.failureDomain = domain}});
+    }
+    return registrations;
+}
+
+bool holdsSeat(const Members &members, const std::string &name)
+{
+    return members.isSeatHolder({name});
+}
+
+} // namespace
+
+// A restored store lacks the registrations of Vms that are still alive. If their seats were assigned to others before they could register
+// again, two Vms would hold one seat and the quota would be granted twice.
+BOOST_AUTO_TEST_CASE(a_registration_that_a_restore_lost_keeps_its_seat_until_it_is_written_again)
+{
+    Members members = makeMembers(40);
+    const std::vector<VmName> before = members.seatHolders();
+    BOOST_TEST(holdsSeat(members, "vm-6"));
+    members.noteStoreRestored(start);
+    Registrations restored = restoredRegistrations(5);
+    restored.push_back({{{"vm-late"}, {"fd-a"}, {2, 3}}, {.failureDomain = {"fd-a"}}}); // started in the gap
+    members.replaceAll(restored, start);
+    members.remove({"vm-4"}); // a difference passed on by another Vm
+    BOOST_TEST((members.seatHolders() == before));
+    BOOST_TEST(!members.removeExpired(start + Members::registrationGrace - 1ms));
+    BOOST_TEST((members.seatHolders() == before));
+}
+
+BOOST_AUTO_TEST_CASE(a_lost_registration_that_is_not_written_again_in_time_is_removed)
+{
+    Members members = makeMembers(10);
+    members.noteStoreRestored(start);
+    members.replaceAll(restoredRegistrations(5), start);
+    BOOST_TEST(members.missingCount() == 6U); // five and this Vm
+    for (const int i : {6, 8}) {
+        members.put({{"vm-" + std::to_string(i)}, {"fd-a"}, {1, 1}}, {.failureDomain = {"fd-a"}}, start + 1s);
+    }
+    BOOST_TEST(members.missingCount() == 4U);
+    BOOST_TEST(members.removeExpired(start + Members::registrationGrace + 4 * Members::rewriteInterval + 1s));
+    BOOST_TEST(members.missingCount() == 0U);
+    BOOST_TEST(holdsSeat(members, "vm-6"));
+    BOOST_TEST(!holdsSeat(members, "vm-7"));
+    members.remove({"vm-8"}); // the grace is over
+    BOOST_TEST(!holdsSeat(members, "vm-8"));
+}
+
+// The more registrations were lost, the longer their owners spread the writes.
+BOOST_AUTO_TEST_CASE(the_grace_for_lost_registrations_grows_with_their_number)
+{
+    Members members = makeLargeFleet("vm-0");
+    members.noteStoreRestored(start);
+    members.replaceAll({}, start);
+    BOOST_TEST(members.missingCount() == largeFleetSize);
+    BOOST_TEST(!members.removeExpired(start + Members::registrationGrace + (largeFleetSize - 1) * Members::rewriteInterval));
+    BOOST_TEST(members.removeExpired(start + Members::registrationGrace + (largeFleetSize + 1) * Members::rewriteInterval));
+}
+
+// A restored store gives out low revisions again. By these alone, a newcomer would take the seat of a Vm that joined long before.
+BOOST_AUTO_TEST_CASE(a_newcomer_with_a_revision_given_out_again_takes_no_seat)
+{
+    Members members = makeMembers(40);
+    const std::vector<VmName> before = members.seatHolders();
+    members.noteStoreRestored(start);
+    members.put({{"vm-late"}, {"fd-a"}, {2, 1}}, {.failureDomain = {"fd-a"}}, start);
+    BOOST_TEST((members.seatHolders() == before));
+}
--- a/packages/policy/include/pollenspoke/policy.h
+++ b/packages/policy/include/pollenspoke/policy.h
@@ -899,8 +899,8 @@
 {
     VmName name;
     FailureDomain failureDomain;
-    std::uint64_t registeredAt = 0; // store revision at registration
-    std::uint32_t millicores = 0;   // processor capacity available to the Vm
+    StorePosition registeredAt;   // first registration
+    std::uint32_t millicores = 0; // processor capacity available to the Vm
     auto operator<=>(const RegisteredVm &) const = default;
 };
 
--- a/packages/policy/tests/test_seats.cpp
+++ b/packages/policy/tests/test_seats.cpp
@@ -15,7 +15,7 @@
         const std::uint64_t number = vms.size() + 1;
         vms.push_back({.name = {"vm-" + std::to_string(number)},
                        .failureDomain = {"fd-" + std::to_string(i % domainCount)},
-                       .registeredAt = number,
+                       .registeredAt = {1, number},
                        .millicores = millicores});
     }
 }
@@ -44,7 +44,7 @@
     addVms(vms, 40, 4, 200);
     const std::vector<VmName> before = assignSeats(vms);
     BOOST_TEST(before.size() == 8U);
-    vms.push_back({.name = {"a-late-one"}, .failureDomain = {"fd-0"}, .registeredAt = 99, .millicores = 200});
+    vms.push_back({.name = {"a-late-one"}, .failureDomain = {"fd-0"}, .registeredAt = {1, 99}, .millicores = 200});
     BOOST_TEST((assignSeats(vms) == before));
 }
 
