Fleet: Vms hand on the declarations that a restored store lacks

What callers saw: a Vm that started after the restore took the older configuration from the store, and refused or wrongly served what the newer one says, until the operator had written it again. Vms that had missed the last change before the loss stayed behind in the same way.

Cause: Vms passed on only changes of the store, and store watchers asked nobody.

Status reports and feed requests now tell the version of the declarations in force; a feed reply carries the declarations themselves if the sender's are newer and the reply's changes don't have them already. A Vm asks a live one that has told a newer version, and a store watcher asks any live Vm after its start and after a restore until one has answered that isn't new itself, for 10 s at most. The same reply carries the targets that left, if asked for; nothing provides or uses these yet.

The tests of the members and of the datagrams need the new functions.

--- a/packages/fleet/src/feed.cpp
+++ b/packages/fleet/src/feed.cpp
@@ -16,6 +16,7 @@
 constexpr int maxSourcesPerPoll = 3;                                // if sources seem to have lost the store
 constexpr auto probeInterval = std::chrono::seconds(5);             // of the store by a seat holder without access to it
 constexpr auto startupGrace = std::chrono::milliseconds(2500);      // until the seat holders of a new fleet have found each other
+constexpr auto heldContentTimeout = std::chrono::seconds(10);       // with no Vm that answers, there is none that holds more
 constexpr auto directWatchTimeout = std::chrono::seconds(2);        // for a direct watch of the store by a Vm that isn't a store watcher
 
 } // namespace
@@ -149,6 +150,7 @@
     , m_members(members)
     , m_clock(clock)
     , m_metrics(metrics)
+    , m_askingSince(clock.now())
     , m_generator(std::random_device{}())
     , m_startedAt(clock.now())
     , m_lastStoreContactAt(m_startedAt)
@@ -284,11 +286,12 @@
     net::steady_timer timer(m_context);
     for (;;) {
         const bool holdsSeat = m_members.isSeatHolder(m_members.self());
-        timer.expires_after(holdsSeat ? holderPollInterval : plainPollInterval);
+        timer.expires_after(holdsSeat || isInStartupGrace() ? holderPollInterval : plainPollInterval);
         co_await timer.async_wait(net::use_awaitable);
         if (!isStoreWatcher()) {
             co_await pollOnce();
         }
+        co_await requestHeldContent();
         for (auto &[kind, it] : m_watches) {
             wake(it); // also if this Vm became a store watcher
         }
@@ -303,12 +306,13 @@
         const Member *source = chooseSource();
         std::optional<FeedReply> reply;
         if (source != nullptr) {
-            reply = co_await requestChanges(*source);
+            reply = co_await requestChanges(*source, true);
         }
         if (!reply) {
             break;
         }
         applyReply(*reply);
+        applyHeldContent(*reply);
         hasReply = true;
         isStale = reply->storeContactAge > staleSourceLimit;
     }
@@ -320,6 +324,60 @@
     }
 }
 
+void FeedStore::noteStoreRestored()
+{
+    m_askingSince = m_clock.now();
+}
+
+bool FeedStore::needsHeldContent() const
+{
+    return m_askingSince && m_clock.now() - *m_askingSince < heldContentTimeout;
+}
+
+// A Vm that has just started knows no more than the store.
+bool FeedStore::hasHeldContent() const
+{
+    return m_wasAnswered || m_clock.now() - m_startedAt > heldContentTimeout;
+}
+
+// Asks a Vm that has newer declarations. A store watcher, which polls nobody, asks any Vm after its start and after a restore: the store
+// may lack what others hold.
+net::awaitable<void> FeedStore::requestHeldContent()
+{
+    const TimePoint now = m_clock.now();
+    const std::uint64_t version = std::max(m_heldContent.declarationsVersion(), m_lastRequestedVersion);
+    const Member *source = m_members.findNewerDeclarations(version, now);
+    const std::uint64_t sourceVersion = source == nullptr ? 0 : source->declarationsVersion;
+    if (source == nullptr && needsHeldContent() && isStoreWatcher()) {
+        std::vector<const Member *> live = m_members.others();
+        std::erase_if(live, [this, now](const Member *it) { return !m_members.isLive(*it, now); });
+        if (!live.empty()) {
+            std::uniform_int_distribution<std::size_t> pick(0, live.size() - 1);
+            source = live[pick(m_generator)];
+        }
+    }
+    if (source == nullptr) {
+        co_return;
+    }
+    const std::optional<FeedReply> reply = co_await requestChanges(*source, false);
+    if (reply) {
+        m_lastRequestedVersion = std::max(m_lastRequestedVersion, sourceVersion); // not again if it was refused
+        applyHeldContent(*reply);
+    }
+}
+
+void FeedStore::applyHeldContent(const FeedReply &reply)
+{
+    if (reply.departures) {
+        m_wasAnswered = true;
+        m_askingSince.reset();
+        m_heldContent.onDepartures(*reply.departures);
+    }
+    if (reply.declarations) {
+        m_heldContent.onDeclarations(*reply.declarations);
+    }
+}
+
 void FeedStore::applyReply(const FeedReply &reply)
 {
     const TimePoint now = m_clock.now();
@@ -341,11 +399,16 @@
     }
 }
 
-net::awaitable<std::optional<FeedReply>> FeedStore::requestChanges(const Member &source)
+net::awaitable<std::optional<FeedReply>> FeedStore::requestChanges(const Member &source, bool includesCursors)
 {
-    FeedRequest request{.id = ++m_lastRequestId, .isLeaving = m_members.isLeaving()};
-    for (const auto &[kind, watch] : m_watches) {
-        request.cursors[kind] = m_logs[kind].cursor();
+    FeedRequest request{.id = ++m_lastRequestId,
+                        .isLeaving = m_members.isLeaving(),
+                        .declarationsVersion = m_heldContent.declarationsVersion(),
+                        .needsDepartures = needsHeldContent()};
+    if (includesCursors) {
+        for (const auto &[kind, watch] : m_watches) {
+            request.cursors[kind] = m_logs[kind].cursor();
+        }
     }
     const auto entry = m_pendingRequests.emplace(request.id, PendingRequest{.timer = net::steady_timer(m_context, replyTimeout)}).first;
     m_link.send(source.registration.peers, request);
@@ -363,6 +426,20 @@
         const auto log = m_logs.find(kind);
         reply.changes[kind] = log == m_logs.end() ? std::nullopt : log->second.since(cursor);
     }
+    if (m_heldContent.declarationsVersion() > request.declarationsVersion) {
+        reply.declarations = m_heldContent.declarations();
+        const auto isDeclarations = [&reply](const DocumentChange &it) {
+            return it.document.name == reply.declarations->name && it.document.revision == reply.declarations->revision;
+        };
+        for (const auto &[kind, changes] : reply.changes) {
+            if (reply.declarations && changes && std::any_of(changes->events.begin(), changes->events.end(), isDeclarations)) {
+                reply.declarations.reset(); // the reply has them already
+            }
+        }
+    }
+    if (request.needsDepartures && hasHeldContent()) {
+        reply.departures = m_heldContent.departures();
+    }
     return reply;
 }
 
--- a/packages/fleet/src/feed.h
+++ b/packages/fleet/src/feed.h
@@ -77,6 +77,16 @@
     int m_penalty = 0;
 };
 
+/// What a Vm holds and a restored store may lack. Vms hand it on to those that have just started or notice the restore.
+struct HeldContent
+{
+    std::function<std::uint64_t()> declarationsVersion = [] { return std::uint64_t(0); }; // of those in force; 0: none
+    std::function<std::optional<StoredDocument>()> declarations = [] { return std::nullopt; };
+    std::function<void(const StoredDocument &)> onDeclarations = [](const StoredDocument &) {};
+    std::function<std::vector<TargetDeparture>()> departures = [] { return std::vector<TargetDeparture>(); }; // targets that left
+    std::function<void(const std::vector<TargetDeparture> &)> onDepartures = [](const std::vector<TargetDeparture> &) {};
+};
+
 /// Decorator of the store that watches it directly if this Vm is a store watcher, and otherwise polls other Vms for changes. Falls
 /// back to the store where none answers. All other calls go to the store.
 class FeedStore final : public DocumentStore
@@ -103,6 +113,9 @@
     FeedReply answerRequest(const FeedRequest &request) const;
     void handleReply(const FeedReply &reply);
 
+    void setHeldContent(HeldContent content) { m_heldContent = std::move(content); }
+    void noteStoreRestored(); // asks another Vm for what it holds
+
     StorePosition newestPosition() const;                                 // up to which any kind is known
     TimePoint lastStoreContactAt() const { return m_lastStoreContactAt; } // when the store last answered this Vm or one of its sources
 
@@ -124,10 +137,14 @@
     Call<DocumentChanges> watchStore(std::string kind, StorePosition since, Duration wait);
     boost::asio::awaitable<void> poll();
     boost::asio::awaitable<void> pollOnce();
+    bool needsHeldContent() const;
+    bool hasHeldContent() const;
+    boost::asio::awaitable<void> requestHeldContent();
+    void applyHeldContent(const FeedReply &reply);
     boost::asio::awaitable<void> probe();
     void applyReply(const FeedReply &reply);
     void recordAccess(bool succeeded, ErrorCode code);
-    boost::asio::awaitable<std::optional<FeedReply>> requestChanges(const Member &source);
+    boost::asio::awaitable<std::optional<FeedReply>> requestChanges(const Member &source, bool includesCursors);
     void wake(Watch &watch);
 
     boost::asio::io_context &m_context;
@@ -141,6 +158,10 @@
     std::map<std::uint64_t, PendingRequest> m_pendingRequests;
     std::uint64_t m_lastRequestId = 0;
     std::uint64_t m_requestCount = 0;
+    HeldContent m_heldContent;
+    std::optional<TimePoint> m_askingSince;   // for what other Vms hold; empty: answered
+    bool m_wasAnswered = false;               // since the start
+    std::uint64_t m_lastRequestedVersion = 0; // of declarations that another Vm sent or said that it has
     Generator m_generator;
     TimePoint m_startedAt;
     TimePoint m_lastStoreContactAt;
--- a/packages/fleet/src/fleet_vm.cpp
+++ b/packages/fleet/src/fleet_vm.cpp
@@ -242,6 +242,7 @@
     if (kind == format.vmsKind()) {
         members.noteStoreRestored(clock.now());
     }
+    feed.noteStoreRestored();
 }
 
 void FleetVm::Impl::startFollowing()
@@ -301,6 +302,15 @@
         const FollowOptions followOptions{.kind = kind, .watchWait = options.watchWait, .watchPause = options.watchPause};
         net::co_spawn(context, followKind(feed, followOptions, handler), net::detached);
     };
+    feed.setHeldContent({.declarationsVersion = [this] { return configuration.declarationsVersion(); },
+                         .declarations = [this] { return configuration.declarationsDocument(); },
+                         .onDeclarations =
+                             [this](const StoredDocument &document) {
+                                 configuration.applyDeclarations(document);
+                                 logEvent(Event::SnapshotApplied,
+                                          {{"declarations", std::to_string(configuration.declarationsVersion())}, {"source", "vm"}});
+                                 publishConfiguration();
+                             }});
     follow(format.declarationsKind(), declarationsHandler);
     follow(format.targetsKind(), targetsHandler);
     net::co_spawn(context, joinFleet(), net::detached);
@@ -501,6 +511,7 @@
 {
     const StatusReport status{.isLeaving = isLeaving,
                               .newestChange = newestChange,
+                              .declarationsVersion = configuration.declarationsVersion(),
                               .storeReachableFor = storeReachableSince && members.hasStoreAccess()
                                   ? std::max<Duration>(clock.now() - *storeReachableSince, std::chrono::milliseconds(1))
                                   : Duration(0),
@@ -557,6 +568,7 @@
 {
     if (const auto *status = std::get_if<StatusReport>(&message)) {
         members.recordReport(sender, status->isLeaving, status->storeReachableFor, status->newestChange, clock.now());
+        members.recordDeclarationsVersion(sender, status->declarationsVersion);
         checkLocalOutage();
         if (status->targetReports) {
             proxy.applyTargetUpdates(sender, *status->targetReports, status->isFullReport);
@@ -567,6 +579,7 @@
         admission.handleReply(*tokenReply);
     } else if (const auto *feedRequest = std::get_if<FeedRequest>(&message)) {
         members.recordContact(sender, feedRequest->isLeaving, clock.now());
+        members.recordDeclarationsVersion(sender, feedRequest->declarationsVersion);
         link.send(from, encodeDatagram(options.proxy.vm, feed.answerRequest(*feedRequest)));
     } else if (const auto *feedReply = std::get_if<FeedReply>(&message)) {
         feed.handleReply(*feedReply);
--- a/packages/fleet/src/link.cpp
+++ b/packages/fleet/src/link.cpp
@@ -29,6 +29,7 @@
 {
     fleet::Status &status = *datagram.mutable_status();
     status.set_is_leaving(report.isLeaving);
+    status.set_declarations_version(report.declarationsVersion);
     status.set_newest_era(report.newestChange.era());
     status.set_newest_revision(report.newestChange.revision());
     status.set_store_up_ms(toMs(report.storeReachableFor));
@@ -69,6 +70,8 @@
     fleet::FeedAsk &ask = *datagram.mutable_feed_ask();
     ask.set_id(request.id);
     ask.set_is_leaving(request.isLeaving);
+    ask.set_declarations_version(request.declarationsVersion);
+    ask.set_needs_departures(request.needsDepartures);
     for (const auto &[kind, it] : request.cursors) {
         fleet::FeedCursor &cursor = *ask.add_cursors();
         cursor.set_kind(kind);
@@ -112,11 +115,27 @@
         status.set_report_age_ms(toMs(it.reportAge));
         status.set_is_leaving(it.isLeaving);
     }
+    if (reply.declarations) {
+        fleet::HeldDeclarations &declarations = *answer.mutable_declarations();
+        declarations.set_name(reply.declarations->name);
+        declarations.set_revision(reply.declarations->revision);
+        declarations.set_spec(formatJsonText(reply.declarations->spec));
+    }
+    answer.set_has_departures(reply.departures.has_value());
+    for (const TargetDeparture &it : reply.departures.value_or(std::vector<TargetDeparture>())) {
+        fleet::Departure &departure = *answer.add_departures();
+        departure.set_target(it.target.value);
+        departure.set_started_at_ms(it.number.startedAtMs);
+        departure.set_sequence(it.number.sequence);
+    }
 }
 
 FeedRequest decodeFeedRequest(const fleet::FeedAsk &ask)
 {
-    FeedRequest request{.id = ask.id(), .isLeaving = ask.is_leaving()};
+    FeedRequest request{.id = ask.id(),
+                        .isLeaving = ask.is_leaving(),
+                        .declarationsVersion = ask.declarations_version(),
+                        .needsDepartures = ask.needs_departures()};
     for (const fleet::FeedCursor &it : ask.cursors()) {
         request.cursors[it.kind()] = {.since = {it.era(), it.since()}, .newestChange = {it.era(), it.newest_change()}};
     }
@@ -150,6 +169,17 @@
     for (const fleet::SeatHolderStatus &it : answer.overdue()) {
         reply.overdue.push_back({.vm = {it.vm()}, .reportAge = milliseconds(it.report_age_ms()), .isLeaving = it.is_leaving()});
     }
+    StoredDocument declarations{.name = answer.declarations().name(), .revision = answer.declarations().revision()};
+    std::string parseError;
+    if (answer.has_declarations() && parseJsonText(answer.declarations().spec(), declarations.spec, parseError)) {
+        reply.declarations = std::move(declarations);
+    }
+    if (answer.has_departures()) {
+        reply.departures.emplace();
+        for (const fleet::Departure &it : answer.departures()) {
+            reply.departures->push_back({.target = {it.target()}, .number = {it.started_at_ms(), it.sequence()}});
+        }
+    }
     return reply;
 }
 
@@ -157,6 +187,7 @@
 {
     StatusReport report{.isLeaving = status.is_leaving(),
                         .newestChange = {status.newest_era(), status.newest_revision()},
+                        .declarationsVersion = status.declarations_version(),
                         .storeReachableFor = milliseconds(status.store_up_ms())};
     if (!status.has_services()) {
         return report;
--- a/packages/fleet/src/link.h
+++ b/packages/fleet/src/link.h
@@ -15,6 +15,7 @@
 {
     bool isLeaving = false;
     StorePosition newestChange;                 // of all changes that the sender knows
+    std::uint64_t declarationsVersion = 0;      // of those in force; 0: none
     Duration storeReachableFor{};               // time of uninterrupted access to the store; 0: the store is unreachable
     std::optional<TargetUpdates> targetReports; // empty: this datagram doesn't report targets
     bool isFullReport = true;                   // false: only the changed targets are listed
@@ -46,6 +47,8 @@
     std::uint64_t id = 0;
     bool isLeaving = false;
     std::map<std::string, FeedCursor> cursors; // by kind
+    std::uint64_t declarationsVersion = 0;     // of those in force at the sender; 0: none
+    bool needsDepartures = false;              // the sender has just started, or the store was restored
 };
 
 struct FeedReply
@@ -54,6 +57,8 @@
     std::map<std::string, std::optional<DocumentChanges>> changes; // by kind; empty: the sender's log doesn't cover them
     Duration storeContactAge{};                                    // since the store answered the sender or one of its sources
     std::vector<SeatHolderStatus> overdue;                         // the sender received recent reports from all other seat holders
+    std::optional<StoredDocument> declarations;                    // in force at the sender, if newer than the receiver's
+    std::optional<std::vector<TargetDeparture>> departures;        // if requested; empty: the sender doesn't know them
 };
 
 using LinkMessage = std::variant<StatusReport, TokenRequest, TokenReply, FeedRequest, FeedReply>;
--- a/packages/fleet/src/members.cpp
+++ b/packages/fleet/src/members.cpp
@@ -99,6 +99,23 @@
     }
 }
 
+void Members::recordDeclarationsVersion(const VmName &vm, std::uint64_t version)
+{
+    const auto it = m_members.find(vm);
+    if (it != m_members.end()) {
+        it->second.declarationsVersion = version;
+    }
+}
+
+const Member *Members::findNewerDeclarations(std::uint64_t version, TimePoint now) const
+{
+    const auto it = std::find_if(m_members.begin(), m_members.end(), [this, version, now](const auto &it) {
+        const Member &member = it.second;
+        return !isSelf(member.name) && member.declarationsVersion > version && isLive(member, now);
+    });
+    return it == m_members.end() ? nullptr : &it->second;
+}
+
 void Members::recordContact(const VmName &vm, bool isLeaving, TimePoint now)
 {
     const auto it = m_members.find(vm);
--- a/packages/fleet/src/members.h
+++ b/packages/fleet/src/members.h
@@ -23,6 +23,7 @@
     TimePoint lastReportAt;                       // initially the time at which it was first listed
     std::optional<TimePoint> storeReachableSince; // from its last report; empty: the store is unreachable
     StorePosition newestChange;                   // newest change of the store it has, from its last report
+    std::uint64_t declarationsVersion = 0;        // in force there, from its last message
     bool isLeaving = false;
     bool isMissing = false; // the restored store lacks its registration
 };
@@ -51,6 +52,7 @@
     std::size_t missingCount() const;
     bool isInRestoreGrace() const { return m_restoredAt.has_value(); }
     void recordReport(const VmName &vm, bool isLeaving, Duration storeReachableFor, StorePosition newestChange, TimePoint now);
+    void recordDeclarationsVersion(const VmName &vm, std::uint64_t version);
     void recordContact(const VmName &vm, bool isLeaving, TimePoint now); // a message other than a report
 
     /// Records another Vm's view of the seat holders: those it considers overdue; it heard from all others lately.
@@ -87,6 +89,9 @@
     /// the live seat holders or, if none is known to be live, all of them.
     std::vector<const Member *> feedSources(StorePosition since, bool prefersOwnDomain, TimePoint now) const;
 
+    /// A live Vm whose declarations are newer, or nullptr.
+    const Member *findNewerDeclarations(std::uint64_t version, TimePoint now) const;
+
     /// Registered Vms that have been silent for the given time and that this Vm has to remove from the store: the first live seat
     /// holder removes seat holders, the first one of a failure domain the domain's other Vms. Both count the silence from the time
     /// at which they took over that role.
--- a/packages/fleet/tests/test_link.cpp
+++ b/packages/fleet/tests/test_link.cpp
@@ -95,3 +95,28 @@
     BOOST_TEST((received->events[0].position == StorePosition(2, 40)));
     BOOST_TEST((received->events[1].position == StorePosition(3, 41)));
 }
+
+// What a restored store lacks reaches other Vms only in these messages.
+BOOST_AUTO_TEST_CASE(declarations_and_departures_are_handed_on_in_feed_replies)
+{
+    const auto send = [](const LinkMessage &message) { return decodeDatagram(encodeDatagram(sender, message))->second; };
+    BOOST_TEST(std::get<StatusReport>(send(StatusReport{.declarationsVersion = 12})).declarationsVersion == 12U);
+    const auto request = std::get<FeedRequest>(send(FeedRequest{.id = 7, .declarationsVersion = 11, .needsDepartures = true}));
+    BOOST_TEST(request.declarationsVersion == 11U);
+    BOOST_TEST(request.needsDepartures);
+
+    StoredDocument declarations{.name = "main", .revision = 40, .spec = JsonValue::makeObject()};
+    declarations.spec.add("version", std::string("0000000c"));
+    const std::vector<TargetDeparture> departures{{.target = {"i-1"}, .number = {.startedAtMs = 1764867000123, .sequence = 4}}};
+    const auto reply = std::get<FeedReply>(send(FeedReply{.id = 7, .declarations = declarations, .departures = departures}));
+    BOOST_REQUIRE(reply.declarations.has_value());
+    BOOST_TEST(reply.declarations->name == "main");
+    BOOST_TEST(reply.declarations->revision == 40U);
+    BOOST_TEST(formatJsonText(reply.declarations->spec) == formatJsonText(declarations.spec));
+    BOOST_REQUIRE(reply.departures.has_value());
+    BOOST_TEST((*reply.departures == departures));
+
+    const auto unknown = std::get<FeedReply>(send(FeedReply{.id = 8}));
+    BOOST_TEST(!unknown.declarations.has_value());
+    BOOST_TEST(!unknown.departures.has_value()); // not the same as: no target left
+}
--- a/packages/fleet/tests/test_members.cpp
+++ b/packages/fleet/tests/test_members.cpp
@@ -320,3 +320,16 @@
     members.put({{"vm-late"}, {"fd-a"}, {2, 1}}, {.failureDomain = {"fd-a"}}, start);
     BOOST_TEST((members.seatHolders() == before));
 }
+
+// If the restored store lacks the newest configuration, no watch brings it: a Vm that doesn't ask the one that has it stays behind.
+BOOST_AUTO_TEST_CASE(a_live_vm_with_newer_declarations_is_found)
+{
+    Members members = makeMembers(40);
+    members.recordDeclarationsVersion({"vm-30"}, 12); // has no seat
+    members.recordDeclarationsVersion({"self"}, 99);
+    BOOST_TEST(members.findNewerDeclarations(12, start) == nullptr);
+    const Member *newer = members.findNewerDeclarations(11, start);
+    BOOST_REQUIRE(newer != nullptr);
+    BOOST_TEST(newer->name.value == "vm-30");
+    BOOST_TEST(members.findNewerDeclarations(11, start + 4s) == nullptr); // silent
+}
