Fleet: targets and seats learn that the store was restored; departed targets are handed on

Joins the parts: the roster's grace and its memory of departures start when a follower notices the later era, the quota pool keeps its seats meanwhile, and a VM that starts in the gap asks another one for the targets that have left.

--- a/packages/fleet/src/fleet_admission.cpp
+++ b/packages/fleet/src/fleet_admission.cpp
@@ -125,6 +125,12 @@
     }
 }
 
+void FleetAdmission::noteStoreRestored(TimePoint noticedAt)
+{
+    const std::lock_guard lock(m_mutex);
+    m_pool.noteStoreRestored(noticedAt);
+}
+
 void FleetAdmission::setSeats(const VmName &self, std::vector<VmName> holders)
 {
     const std::lock_guard lock(m_mutex);
--- a/packages/fleet/src/fleet_vm.cpp
+++ b/packages/fleet/src/fleet_vm.cpp
@@ -241,6 +241,9 @@
              LogLevel::Warning);
     if (kind == format.vmsKind()) {
         members.noteStoreRestored(clock.now());
+        admission.noteStoreRestored(clock.now());
+    } else {
+        configuration.noteStoreRestored(clock.now());
     }
     feed.noteStoreRestored();
 }
@@ -310,6 +313,12 @@
                                  logEvent(Event::SnapshotApplied,
                                           {{"declarations", std::to_string(configuration.declarationsVersion())}, {"source", "vm"}});
                                  publishConfiguration();
+                             },
+                         .departures = [this] { return configuration.departures(clock.now()); },
+                         .onDepartures =
+                             [this](const std::vector<TargetDeparture> &departures) {
+                                 configuration.applyDepartures(departures, clock.now());
+                                 publishConfiguration();
                              }});
     follow(format.declarationsKind(), declarationsHandler);
     follow(format.targetsKind(), targetsHandler);
