--- a/packages/fleet/src/feed.cpp
+++ b/packages/fleet/src/feed.cpp
@@ -61,7 +61,9 @@
     }
     while (m_changes.size() > maxChanges) {
         const StorePosition dropped = m_changes.front().change.position;
-        std::erase_if(m_spans, [&dropped](const Span &it) { return it.first.era() < dropped.era(); });
+        while (m_spans.size() > 1 && m_spans.front().first.era() < dropped.era()) {
+            m_spans.erase(m_spans.begin());
+        }
         m_spans.front().first = std::max(m_spans.front().first, dropped);
         m_changes.pop_front();
     }
