Follower: a delay between lists when each following watch is too old

The platform would see: a store whose watches never match its lists, such as one that omits its era from some answers, is listed and watched without a pause by each Vm. Cause: a watch that is too old was followed by a list at once, whatever came before. Now only the first one is, until a watch succeeds; after that the usual back-off applies.

--- a/packages/fleet/src/kind_follower.cpp
+++ b/packages/fleet/src/kind_follower.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <random>
+#include <utility>
 
 namespace Pollenspoke {
 
@@ -96,12 +97,13 @@
         if (!changes) {
             if (changes.error().code == ErrorCode::TooOld) {
                 m_mustList = true;
-                co_return true; // list again without delay
+                co_return !std::exchange(m_wasTooOld, true); // list again, at once unless the last list didn't help
             }
             m_handler.onCallFailed(changes.error());
             co_return false;
         }
         recordSuccess();
+        m_wasTooOld = false;
         EraChange change{.previous = m_position, .current = std::max(m_position, changes->position)};
         for (const DocumentChange &it : changes->events) {
             ++(it.isDeleted ? change.missingDocuments : change.changedDocuments);
@@ -127,6 +129,7 @@
     FollowOptions m_options;
     const FollowHandler &m_handler;
     bool m_mustList = true;
+    bool m_wasTooOld = false;                         // the last watch
     StorePosition m_position;                         // of the last list or changes
     std::map<std::string, std::uint64_t> m_revisions; // of the documents
     ReadConsistency m_listConsistency = m_options.firstListConsistency;
