Dispatcher: a retry is charged only when it is used, and the last attempt isn't given up

Each answered request that may be repeated took a retry from the budget, because the cancelled wait for the end of its patience went on as if the time were over: callers got 502 when a retry was needed. The last attempt on a pooled connection whose answer had begun was still cut half-way. A slow attempt could be replaced by one at the same target although there were others, only without room, and then work was thrown away and begun again. A retry was charged before a slot was found, and a reserved slot was held while the answer was sent.

Now the wait ends with its attempt; the slot comes first, the budget second; the last attempt is only repeated if its connection is silent; the same target is used again only if it is the only one. Connections that are silent like this one are discarded when the patience ends, so that other requests don't take them.

Evidence: an_answered_request_takes_no_retry_from_the_budget and the_last_attempt_is_not_given_up_while_its_body_arrives failed before.

--- a/packages/proxy/src/dispatcher.cpp
+++ b/packages/proxy/src/dispatcher.cpp
@@ -194,6 +194,7 @@
             recordFailure(*failure, progress);
             continue;
         }
+        progress.nextReservation = TargetReservation();
         progress.reservation = TargetReservation(); // release the slot early, so that a slow caller doesn't occupy the target
         if (auto *response = std::get_if<BufferedResponse>(&result)) {
             if (response->header.result_int() >= firstServerErrorStatus) {
@@ -451,19 +452,28 @@
 {
     net::steady_timer timer(co_await net::this_coro::executor);
     timer.expires_after(attempt.patienceEndsAt - m_dependencies.clock.now());
-    co_await timer.async_wait(asTuple);
-    bool isReplaced = !reply.hasStarted() && !isStopTooClose(request, trace) && reserveRetry(request, progress);
-    const bool retriesSameTarget = attempt.isPooled && !connection.hasReceivedBytes() && progress.plan.attempt >= progress.plan.maxAttempts;
-    if (isReplaced && !retriesSameTarget) {
+    if (const auto [ec] = co_await timer.async_wait(asTuple); ec) {
+        co_return; // the attempt has ended
+    }
+    const bool isSilent = attempt.isPooled && !connection.hasReceivedBytes();
+    if (isSilent) {
+        m_pool.discardOlderThan(attempt.id, attempt.startedAt); // so that no other request takes a dead connection meanwhile
+    }
+    const bool isLast = progress.plan.attempt >= progress.plan.maxAttempts;
+    bool isReplaced = (!isLast || isSilent) && !reply.hasStarted() && !isStopTooClose(request, trace);
+    if (isReplaced && !isLast) {
         std::vector<TargetName> tried = progress.tried;
         tried.push_back(attempt.id.target);
         TargetReservation reservation;
         const auto target = co_await acquireSlot(request, progress, std::move(tried), reservation);
-        isReplaced = target && !reply.hasStarted();
+        const bool isOther = target && (target->name != attempt.id.target || request.resolved.service->targets.size() == 1);
+        isReplaced = isOther && !reply.hasStarted() && reserveRetry(request, progress);
         if (isReplaced) {
             progress.nextId = {request.resolved.serviceName, target->name, target->address};
             progress.nextReservation = std::move(reservation);
         }
+    } else {
+        isReplaced = isReplaced && reserveRetry(request, progress); // on a new connection to the same target
     }
     if (!isReplaced) {
         timer.expires_at(net::steady_timer::time_point::max());
