Quota: Vms that start with an incomplete list of Vms don't multiply the tokens of an account

Vms that start after a store has lost the registrations of most Vms list only a few, and nothing tells them that there are more: each took the share of one among two while the others kept theirs. 321 requests of an account with 40 requests/s and a burst of 40 were admitted within 5 s where the platform tolerates 284 (2 of 12 Vms started; 286 with one, 306 with four).

For 2.2 s after its first list, a Vm takes no larger share than one among eight holders, the smallest number of seats. In fleets with fewer Vms, a started Vm has a smaller share than it could for that time; others change nothing.

Failed before: vms_that_start_with_an_incomplete_list_do_not_multiply_the_tokens.

--- a/packages/policy/include/pollenspoke/policy.h
+++ b/packages/policy/include/pollenspoke/policy.h
@@ -904,6 +904,8 @@
     auto operator<=>(const RegisteredVm &) const = default;
 };
 
+inline constexpr std::size_t minSeats = 8; // few, for an accurate view of the targets' load; enough to survive the loss of some
+
 /// Assigns seats round-robin over the failure domains; within each, to the Vms with the most processor capacity first, then to the
 /// earliest registered. There are at least 8 seats and at least 2 per failure domain, as far as there are Vms; in a fleet of more
 /// than 64 Vms, enough for the holders to have a fifth of the fleet's processor capacity.
@@ -940,7 +942,8 @@
     explicit QuotaPool(QuotaPoolOptions options = {});
 
     /// `holders` is from assignSeats(), the same on all Vms. Call it periodically: for `seatGrace` after the store was restored, when
-    /// its list of Vms is incomplete, the previous holders stay. No holders (this Vm is isolated) take effect at once.
+    /// its list of Vms is incomplete, the previous holders stay. No holders (this Vm is isolated) take effect at once. The first ones
+    /// may be from an incomplete list too: for as long, the shares are no larger than those among `minSeats` holders.
     void setSeats(const VmName &self, std::vector<VmName> holders, TimePoint now);
     void noteStoreRestored(TimePoint noticedAt); // from an older copy
     std::vector<VmName> homes(const AccountName &account, const Limits &limits) const;
@@ -960,6 +963,7 @@
         bool hasInitialTokens = false; // granted once, when the homes are first known
     };
 
+    std::size_t maxHomes(const Limits &limits) const; // as many as get a usable share of the burst
     Limits share(const AccountName &name, const Limits &limits) const;
     Account makeAccount(const AccountName &name, const Limits &limits, TimePoint now) const;
     Account &account(const AccountName &name, const Limits &limits, TimePoint now);
@@ -969,6 +973,7 @@
     std::vector<VmName> m_holders;
     std::uint64_t m_seatsVersion = 0;
     TimePoint m_seatsKeptUntil;
+    std::optional<TimePoint> m_startEndsAt; // the first list of Vms may be incomplete until then
     std::map<AccountName, Account> m_accounts;
 };
 
--- a/packages/policy/src/quota_pool.cpp
+++ b/packages/policy/src/quota_pool.cpp
@@ -16,10 +16,15 @@
 {
 }
 
-std::vector<VmName> QuotaPool::homes(const AccountName &account, const Limits &limits) const
+std::size_t QuotaPool::maxHomes(const Limits &limits) const
 {
     const double tokens = limits.burst * m_options.rateFactor + m_options.extraBurst;
-    const auto n = std::min(static_cast<std::size_t>(std::max(tokens / m_options.minHomeBurst, 1.0)), m_holders.size());
+    return static_cast<std::size_t>(std::max(tokens / m_options.minHomeBurst, 1.0));
+}
+
+std::vector<VmName> QuotaPool::homes(const AccountName &account, const Limits &limits) const
+{
+    const std::size_t n = std::min(maxHomes(limits), m_holders.size());
     std::vector<VmName> homes = m_holders;
     std::sort(homes.begin(), homes.end(), [&account](const VmName &left, const VmName &right) {
         return homeScore(account, left) > homeScore(account, right);
@@ -34,7 +39,8 @@
     if (std::find(homeVms.begin(), homeVms.end(), m_self) == homeVms.end()) {
         return {};
     }
-    const auto n = static_cast<double>(homeVms.size());
+    const std::size_t minCount = m_startEndsAt ? std::min(maxHomes(limits), minSeats) : 0;
+    const auto n = static_cast<double>(std::max(homeVms.size(), minCount));
     return Limits{.ratePerSecond = limits.ratePerSecond * m_options.rateFactor / n,
                   .burst = (limits.burst * m_options.rateFactor + m_options.extraBurst) / n};
 }
@@ -55,6 +61,10 @@
 
 QuotaPool::Account &QuotaPool::account(const AccountName &name, const Limits &limits, TimePoint now)
 {
+    if (m_startEndsAt && now >= *m_startEndsAt) {
+        m_startEndsAt.reset();
+        ++m_seatsVersion;
+    }
     const auto found = m_accounts.find(name);
     if (found == m_accounts.end() || (!found->second.hasInitialTokens && !m_holders.empty())) {
         return m_accounts.insert_or_assign(name, makeAccount(name, limits, now)).first->second;
@@ -79,6 +89,9 @@
     if (isKept || (self == m_self && holders == m_holders)) {
         return;
     }
+    if (m_holders.empty()) {
+        m_startEndsAt = now + m_options.seatGrace;
+    }
     m_self = self;
     m_holders = std::move(holders);
     ++m_seatsVersion;
--- a/packages/policy/src/seats.cpp
+++ b/packages/policy/src/seats.cpp
@@ -5,7 +5,6 @@
 
 namespace {
 
-constexpr std::size_t minSeats = 8;              // few, for an accurate view of the targets' load; enough to survive the loss of some
 constexpr std::size_t minSeatsPerDomain = 2;     // callers that stay within a failure domain survive the loss of one
 constexpr std::size_t smallFleetVms = 64;        // up to this size the minimum number of seats serves all callers
 constexpr std::uint64_t seatCapacityDivisor = 5; // larger fleets: holders have 1/5 of the processor capacity
--- a/packages/policy/tests/test_quota_pool.cpp
+++ b/packages/policy/tests/test_quota_pool.cpp
@@ -23,6 +23,7 @@
     std::size_t vms = 0;
     std::size_t seats = 0;
     bool isStoreRestored = false; // the Vms notice that the store was restored from an older copy
+    bool isStart = false;         // the Vms start at this time
 };
 
 struct Fleet
@@ -49,6 +50,10 @@
     {
         const std::vector<VmName> holders(seatHolders.begin(), seatHolders.begin() + static_cast<std::ptrdiff_t>(change.seats));
         for (std::size_t i = 0; i < change.vms; ++i) {
+            if (change.isStart) {
+                pools[i] = QuotaPool();
+                pools[i].addAccount(account, limits, now);
+            }
             if (change.isStoreRestored) {
                 pools[i].noteStoreRestored(now);
             }
@@ -235,6 +240,25 @@
     }
 }
 
+// Guards against an account's tokens counted twice by Vms that start after a restored store has lost most registrations: nothing tells
+// them that the list is incomplete.
+BOOST_AUTO_TEST_CASE(vms_that_start_with_an_incomplete_list_do_not_multiply_the_tokens)
+{
+    const TimePoint restoredAt = TimePoint(1h) + 10s;
+    for (const std::size_t startedVms : {1U, 2U, 4U, 8U, 12U}) {
+        Fleet fleet(12, 12);
+        const Load load{.requestsPerSecond = 300,
+                        .idleTime = 9s,
+                        .seatChanges = {{.at = restoredAt - 100ms, .vms = startedVms, .seats = 0, .isStart = true},
+                                        {.at = restoredAt, .vms = startedVms, .seats = 2},
+                                        {.at = restoredAt + 2s, .vms = 12, .seats = 12},
+                                        {.at = restoredAt + 3s, .vms = 12, .seats = 12}}};
+        const Outcome outcome = simulate(fleet, load);
+        BOOST_TEST(static_cast<double>(outcome.maxInWindow) <= windowLimit(fleet.limits),
+                   startedVms << " Vms started: " << outcome.maxInWindow << " admitted");
+    }
+}
+
 // Guards against shares that stay as they were before a return although the Vms that held the others are gone.
 BOOST_AUTO_TEST_CASE(seats_of_vms_that_do_not_register_again_are_taken_over_after_the_grace_period)
 {
