--- a/apps/pollenspokectl/commands.cpp
+++ b/apps/pollenspokectl/commands.cpp
@@ -80,20 +80,22 @@
 
 Result<void> Commands::applyOne(const Object &object, bool isDryRun)
 {
-    const Result<Object> current = m_store.get(object.kind(), object.name);
+    const Result<StoredObject> current = m_store.get(object.kind(), object.name);
     if (!current && current.error().code != ErrorCode::NotFound) {
         return tl::unexpected(current.error());
     }
-    if (current && current->spec == object.spec) {
-        m_out << qualifiedName(object) << ": unchanged, version " << current->version << '\n';
+    if (current && current->object.spec == object.spec) {
+        m_out << qualifiedName(object) << ": unchanged, version " << current->object.version << '\n';
         return {};
     }
-    const std::uint64_t expectedVersion = object.version != 0 || !current ? object.version : current->version;
-    const WriteCondition condition
-        = expectedVersion == 0 ? WriteCondition(MustNotExist{}) : WriteCondition(MustHaveVersion{expectedVersion});
+    MustHaveVersion required{.version = object.version};
+    if (object.version == 0 && current) {
+        required = {.version = current->object.version, .era = current->era};
+    }
+    const WriteCondition condition = required.version == 0 ? WriteCondition(MustNotExist{}) : WriteCondition(required);
     if (isDryRun) {
         m_out << qualifiedName(object) << ": would be " << (current ? "changed\n" : "created\n");
-        for (const std::string &it : current ? describeChanges(*current, object) : std::vector<std::string>()) {
+        for (const std::string &it : current ? describeChanges(current->object, object) : std::vector<std::string>()) {
             m_out << "  " << it << '\n';
         }
         return {};
@@ -121,11 +123,11 @@
 Result<void> Commands::get(Kind kind, const std::string &name, OutputForm form)
 {
     if (!name.empty()) {
-        const Result<Object> object = m_store.get(kind, name);
-        if (!object) {
-            return tl::unexpected(object.error());
+        const Result<StoredObject> stored = m_store.get(kind, name);
+        if (!stored) {
+            return tl::unexpected(stored.error());
         }
-        printObjects(m_out, {*object}, form);
+        printObjects(m_out, {stored->object}, form);
         return {};
     }
     const Result<ObjectList> list = m_store.list({kind});
@@ -136,14 +138,15 @@
     return {};
 }
 
-Result<void> Commands::watch(Kind kind, std::uint64_t since, std::uint64_t count)
+Result<void> Commands::watch(Kind kind, std::uint64_t sinceRevision, std::uint64_t count)
 {
-    if (since == 0) {
+    StorePosition since(0, sinceRevision);
+    if (sinceRevision == 0) {
         const Result<ObjectList> list = m_store.list({kind});
         if (!list) {
             return tl::unexpected(list.error());
         }
-        since = list->revision;
+        since = list->position;
     }
     for (std::uint64_t printed = 0; count == 0 || printed < count;) {
         const Result<Changes> changes = m_store.watch(since, {kind}, watchTimeout);
@@ -154,21 +157,22 @@
             m_out << (it.type == ChangeType::Put ? "put    " : "delete ") << toJson(it.object) << std::endl;
             ++printed;
         }
-        since = changes->revision;
+        since = changes->position;
     }
     return {};
 }
 
 Result<void> Commands::remove(Kind kind, const std::string &name, std::uint64_t version)
 {
+    MustHaveVersion required{.version = version};
     if (version == 0) {
-        const Result<Object> current = m_store.get(kind, name);
+        const Result<StoredObject> current = m_store.get(kind, name);
         if (!current) {
             return tl::unexpected(current.error());
         }
-        version = current->version;
+        required = {.version = current->object.version, .era = current->era};
     }
-    if (Result<void> removed = m_store.remove(kind, name, version); !removed) {
+    if (Result<void> removed = m_store.remove(kind, name, required); !removed) {
         return removed;
     }
     m_out << kindName(kind) << '/' << name << ": deleted\n";
@@ -192,17 +196,18 @@
 
 Result<void> Commands::withdrawKey(const std::string &name)
 {
-    Result<Object> current = m_store.get(Kind::Key, name);
+    const Result<StoredObject> current = m_store.get(Kind::Key, name);
     if (!current) {
         return tl::unexpected(current.error());
     }
-    auto &key = std::get<Key>(current->spec);
+    Object withdrawn = current->object;
+    auto &key = std::get<Key>(withdrawn.spec);
     if (key.state == KeyState::Withdrawn) {
-        m_out << "Key/" << name << ": already withdrawn, version " << current->version << '\n';
+        m_out << "Key/" << name << ": already withdrawn, version " << withdrawn.version << '\n';
         return {};
     }
     key.state = KeyState::Withdrawn;
-    const Result<Object> written = putVerified(m_store, *current, MustHaveVersion{current->version});
+    const Result<Object> written = putVerified(m_store, withdrawn, MustHaveVersion{.version = withdrawn.version, .era = current->era});
     if (!written) {
         return tl::unexpected(written.error());
     }
--- a/apps/pollenspokectl/commands.h
+++ b/apps/pollenspokectl/commands.h
@@ -30,10 +30,10 @@
     /// Writes the objects that differ from the stored ones, in the order of their references: accounts and services first. The
     /// write is conditional on the object's version if it has one, otherwise on the version just read.
     Result<void> apply(std::vector<Object> objects, bool isDryRun);
-    Result<void> get(Kind kind, const std::string &name, OutputForm form);          // empty name: all of the kind
-    Result<void> watch(Kind kind, std::uint64_t since, std::uint64_t count);        // since 0: from now on; count 0: no limit
-    Result<void> remove(Kind kind, const std::string &name, std::uint64_t version); // version 0: the current one
-    Result<void> createKey(const std::string &account, const std::string &name);    // empty account: creates no Key object
+    Result<void> get(Kind kind, const std::string &name, OutputForm form);           // empty name: all of the kind
+    Result<void> watch(Kind kind, std::uint64_t sinceRevision, std::uint64_t count); // since 0: from now on; count 0: no limit
+    Result<void> remove(Kind kind, const std::string &name, std::uint64_t version);  // version 0: the current one
+    Result<void> createKey(const std::string &account, const std::string &name);     // empty account: creates no Key object
     Result<void> withdrawKey(const std::string &name);
     Result<void> status();
     Result<void> addresses();
--- a/apps/pollenspoked/vm.cpp
+++ b/apps/pollenspoked/vm.cpp
@@ -123,10 +123,9 @@
             LogLevel::Warning);
     } else if (const auto *refused = std::get_if<RevisionRefused>(&notice)) {
         m_metrics.count(Counter::SnapshotsRefused);
-        logEvent(
-            Event::SnapshotRefused,
-            {{"offered", std::to_string(refused->offered)}, {"in_force", std::to_string(refused->inForce)}, {"object", refused->object}},
-            LogLevel::Error);
+        logEvent(Event::SnapshotRefused,
+                 {{"offered", toString(refused->offered)}, {"in_force", toString(refused->inForce)}, {"object", refused->object}},
+                 LogLevel::Error);
     } else if (const auto *storeLost = std::get_if<StoreUnreachable>(&notice)) {
         m_metrics.count(Counter::StoreFailures);
         logEvent(Event::StoreUnavailable, {{"error", describe(storeLost->error)}}, LogLevel::Warning);
@@ -138,7 +137,7 @@
 HttpReply Vm::answerMetrics()
 {
     const FollowerState state = m_follower.state();
-    m_metrics.setGauge(Gauge::FollowedRevision, static_cast<std::int64_t>(state.revision));
+    m_metrics.setGauge(Gauge::FollowedRevision, static_cast<std::int64_t>(state.position.revision()));
     m_metrics.setGauge(Gauge::StoreReachable, state.isStoreReachable ? 1 : 0);
     m_metrics.setGauge(Gauge::StoreAgeMs, storeAgeMs(state, m_clock.now()));
     return {200, {{"Content-Type", "text/plain; version=0.0.4"}}, m_metrics.expose()};
@@ -151,14 +150,14 @@
     status.add("vm", m_settings.proxy.vm.value);
     status.add("failure_domain", m_settings.proxy.failureDomain.value);
     status.add("state", std::string(phaseName(m_phase)));
-    status.addNumber("revision", static_cast<double>(state.revision));
+    status.addNumber("revision", static_cast<double>(state.position.revision()));
     JsonValue &store = status.add("store", JsonValue::makeObject());
     store.add("kind", m_platform.embedded == nullptr ? "http" : "embedded");
     store.addFlag("reachable", state.isStoreReachable);
     store.addNumber("heard_ms_ago", static_cast<double>(storeAgeMs(state, m_clock.now())));
     if (state.refused) {
         JsonValue &refused = status.add("refused", JsonValue::makeObject());
-        refused.addNumber("offered", static_cast<double>(state.refused->offered));
+        refused.addNumber("offered", static_cast<double>(state.refused->offered.revision()));
         refused.add("object", state.refused->object);
     }
     JsonValue &skipped = status.add("skipped", JsonValue::makeList());
--- a/packages/store/include/pollenspoke/store.h
+++ b/packages/store/include/pollenspoke/store.h
@@ -3,7 +3,7 @@
 /// configuration up to date.
 ///
 /// Index of this file:
-/// - [1] Object store   (WriteCondition, ObjectList, Change, Changes, ObjectStore, putVerified())
+/// - [1] Object store   (WriteCondition, StoreEras, StoredObject, ObjectList, Change, Changes, ObjectStore, putVerified())
 /// - [2] VM list        (VmDirectory, MemoryVmDirectory)
 /// - [3] Memory store   (StoreFaults, StoreBackup, MemoryStore)
 /// - [4] Over HTTP      (HttpObjectStore, HttpVmDirectory, ObjectService)
@@ -14,7 +14,7 @@
 /// @code
 /// MemoryStore store;
 /// Result<Object> stored = store.put(object, MustNotExist{});
-/// Result<Changes> changes = store.watch(stored->version, {}, 30s);
+/// Result<Changes> changes = store.watch(store.list({})->position, {}, 30s);
 /// @endcode
 #pragma once
 
@@ -40,6 +40,7 @@
 struct MustHaveVersion
 {
     std::uint64_t version = 0;
+    std::uint64_t era = 0; // of the store when the version was read; 0: not checked
 };
 using WriteCondition = std::variant<MustNotExist, MustHaveVersion>;
 
@@ -52,11 +53,59 @@
     Error error;
 };
 
+/// The eras that a store has gone through to its present contents, oldest first. A store that is restored from a copy continues the
+/// history of the copy in a new era; eras that the copy knows nothing of are not part of it. Immutable.
+class StoreEras
+{
+public:
+    /// One era, and the revision of the copy with which it began. 0 for the first era.
+    struct Era
+    {
+        std::uint64_t era = 0;
+        std::uint64_t start = 0;
+        auto operator<=>(const Era &) const = default;
+    };
+
+    StoreEras() = default; // of a store that doesn't tell its era
+    static StoreEras first();
+    static Result<StoreEras> fromList(std::vector<Era> eras); // OutOfRange unless eras and starts ascend; empty: the store doesn't tell
+
+    StoreEras restoredAs(std::uint64_t era, std::uint64_t revision) const; // of a store restored from a copy at `revision`
+    std::uint64_t era() const { return m_eras.empty() ? 0 : m_eras.back().era; }
+    std::uint64_t start() const { return m_eras.empty() ? 0 : m_eras.back().start; }
+    StorePosition positionOf(std::uint64_t version) const; // at which the object of that version was written
+    bool contains(const StorePosition &position) const;    // whether the present contents result from it; false: it was lost
+    const std::vector<Era> &list() const { return m_eras; }
+    bool operator==(const StoreEras &) const = default;
+
+private:
+    std::vector<Era> m_eras;
+};
+
+struct StoredObject
+{
+    Object object;
+    std::uint64_t era = 0;      // of the store when it was read
+    std::uint64_t eraStart = 0; // see StoreEras::start()
+
+    bool isFromCopy() const { return object.version <= eraStart; } // not written since the store was restored
+};
+
+struct RemovedObject
+{
+    Kind kind = Kind::ClientAccount;
+    std::string name;
+    std::uint64_t version = 0; // of the deletion
+    auto operator<=>(const RemovedObject &) const = default;
+};
+
 struct ObjectList
 {
-    std::uint64_t revision = 0; // of the store; the list contains every change up to it
+    StorePosition position; // of the store; the list contains every change up to it
+    StoreEras eras;         // the last one is that of `position`
     std::vector<Object> items;
     std::vector<UndecodableObject> undecodable; // possible if the store doesn't validate writes; usually empty
+    std::vector<RemovedObject> removed;         // since the store was first restored; the store may drop old ones
 };
 
 enum class ChangeType { Put, Delete };
@@ -69,23 +118,24 @@
 
 struct Changes
 {
-    std::uint64_t revision = 0; // `since` of the next watch
-    std::vector<Change> events; // ascending versions; empty if the wait timed out
+    StorePosition position;     // `since` of the next watch
+    std::vector<Change> events; // of the era of `position`; ascending versions; empty if the wait timed out
     std::vector<UndecodableObject> undecodable;
 };
 
 /// The platform's object API. Calls block and are thread-safe.
 /// Errors: NotFound, VersionConflict, TooOld, Unavailable (not executed), OutcomeUnknown (a write whose response was lost).
+/// A watch from a position of another era gets TooOld, since its revision may have been given out again; era 0 isn't checked.
 class ObjectStore
 {
 public:
     virtual ~ObjectStore() = default;
-    virtual Result<Object> get(Kind kind, const std::string &name) = 0;
+    virtual Result<StoredObject> get(Kind kind, const std::string &name) = 0;
     virtual Result<ObjectList> list(const std::vector<Kind> &kinds) = 0; // empty: all kinds
     virtual Result<Object> put(const Object &object, const WriteCondition &condition) = 0;
     virtual Result<Object> putStatus(Kind kind, const std::string &name, const std::string &statusJson) = 0;
-    virtual Result<void> remove(Kind kind, const std::string &name, std::uint64_t version) = 0;
-    virtual Result<Changes> watch(std::uint64_t since, const std::vector<Kind> &kinds, Duration wait) = 0;
+    virtual Result<void> remove(Kind kind, const std::string &name, const MustHaveVersion &condition) = 0;
+    virtual Result<Changes> watch(const StorePosition &since, const std::vector<Kind> &kinds, Duration wait) = 0;
 };
 
 /// Writes an object. If the response is lost, reads the object back and compares it before retrying. Succeeds only if the store
@@ -137,6 +187,8 @@
 {
     std::map<std::pair<Kind, std::string>, Object> objects;
     std::uint64_t revision = 0;
+    StoreEras eras;
+    std::map<std::pair<Kind, std::string>, std::uint64_t> removed; // versions of deletions since the first restore
 };
 
 /// In-memory object store: the default of the embedded mode, and a fake of the platform's store for tests.
@@ -144,18 +196,19 @@
 {
 public:
     explicit MemoryStore(std::size_t maxHistory = 10000); // changes; a watch from before the oldest gets TooOld
-    Result<Object> get(Kind kind, const std::string &name) override;
+    Result<StoredObject> get(Kind kind, const std::string &name) override;
     Result<ObjectList> list(const std::vector<Kind> &kinds) override;
     Result<Object> put(const Object &object, const WriteCondition &condition) override;
     Result<Object> putStatus(Kind kind, const std::string &name, const std::string &statusJson) override;
-    Result<void> remove(Kind kind, const std::string &name, std::uint64_t version) override;
-    Result<Changes> watch(std::uint64_t since, const std::vector<Kind> &kinds, Duration wait) override;
+    Result<void> remove(Kind kind, const std::string &name, const MustHaveVersion &condition) override;
+    Result<Changes> watch(const StorePosition &since, const std::vector<Kind> &kinds, Duration wait) override;
 
     void setFaults(const StoreFaults &faults);
     std::uint64_t calls() const; // total number of calls; a watch counts once
     StoreBackup backup() const;
-    void restore(const StoreBackup &backup); // discards all later changes and goes back to the revision of the backup
-    void endWatches();                       // waiting watches return now and later ones don't wait; called at shutdown
+    /// Discards all later changes and goes back to the revision of the backup, in a new era. Earlier watches get TooOld.
+    void restore(const StoreBackup &backup);
+    void endWatches(); // waiting watches return now and later ones don't wait; called at shutdown
 
 private:
     using ObjectId = std::pair<Kind, std::string>;
@@ -164,6 +217,7 @@
     Result<void> beginCall();
     bool loseResponse();
     void record(ChangeType type, const Object &object);
+    void recordRemoval(const ObjectId &id);
     Changes changesSince(std::uint64_t since, const std::vector<Kind> &kinds) const;
 
     mutable std::mutex m_mutex;
@@ -171,7 +225,9 @@
     const std::size_t m_maxHistory;
     std::map<ObjectId, Object> m_objects;
     std::deque<Change> m_history;
+    std::map<ObjectId, std::uint64_t> m_removed; // see StoreBackup
     bool m_watchesEnded = false;
+    StoreEras m_eras = StoreEras::first();
     std::uint64_t m_revision = 0;
     std::uint64_t m_compactedRevision = 0; // changes up to it have been removed from m_history
     std::uint64_t m_calls = 0;
@@ -183,7 +239,9 @@
 //-----------------------------------------------------------------------------
 // GET /v1/objects/{kind}/{name}, GET /v1/objects/{kind}, PUT (If-Match: "<version>" or If-None-Match: *), PUT .../status,
 // DELETE (If-Match), GET /v1/objects?since=&kinds=&wait_ms=, GET /v1/vms. Failures are application/problem+json with
-// code, path, detail, and version on 412.
+// code, path, detail, and version on 412. Lists and watches have `eras`, a list of {era, start} as in StoreEras; a server that
+// doesn't send it is in era 0. They and single objects have the header Pollenspoke-Store-Era, single objects also
+// Pollenspoke-Store-Era-Start. A watch with era=, and a write that has If-Match and the era header, fail in any other era (410, 412).
 
 struct HttpStoreOptions
 {
@@ -197,12 +255,12 @@
 {
 public:
     explicit HttpObjectStore(HttpStoreOptions options);
-    Result<Object> get(Kind kind, const std::string &name) override;
+    Result<StoredObject> get(Kind kind, const std::string &name) override;
     Result<ObjectList> list(const std::vector<Kind> &kinds) override;
     Result<Object> put(const Object &object, const WriteCondition &condition) override;
     Result<Object> putStatus(Kind kind, const std::string &name, const std::string &statusJson) override;
-    Result<void> remove(Kind kind, const std::string &name, std::uint64_t version) override;
-    Result<Changes> watch(std::uint64_t since, const std::vector<Kind> &kinds, Duration wait) override;
+    Result<void> remove(Kind kind, const std::string &name, const MustHaveVersion &condition) override;
+    Result<Changes> watch(const StorePosition &since, const std::vector<Kind> &kinds, Duration wait) override;
 
 private:
     Result<HttpReply> call(HttpRequest request, std::uint32_t timeoutMs) const;
@@ -258,12 +316,12 @@
 {
 public:
     explicit CheckedStore(ObjectStore &store); // must outlive it
-    Result<Object> get(Kind kind, const std::string &name) override;
+    Result<StoredObject> get(Kind kind, const std::string &name) override;
     Result<ObjectList> list(const std::vector<Kind> &kinds) override;
     Result<Object> put(const Object &object, const WriteCondition &condition) override;
     Result<Object> putStatus(Kind kind, const std::string &name, const std::string &statusJson) override;
-    Result<void> remove(Kind kind, const std::string &name, std::uint64_t version) override;
-    Result<Changes> watch(std::uint64_t since, const std::vector<Kind> &kinds, Duration wait) override;
+    Result<void> remove(Kind kind, const std::string &name, const MustHaveVersion &condition) override;
+    Result<Changes> watch(const StorePosition &since, const std::vector<Kind> &kinds, Duration wait) override;
 
 private:
     Result<void> checkChange(Kind kind, const std::string &name, const Object *replacement);
@@ -300,9 +358,9 @@
 };
 struct RevisionRefused
 {
-    std::uint64_t offered = 0; // the store's revision
-    std::uint64_t inForce = 0; // the revision that stays in force
-    std::string object;        // "Key/a": this object has an older version; empty: the whole store is older
+    StorePosition offered; // of the store
+    StorePosition inForce; // what stays in force
+    std::string object;    // "Key/a": this object has an older version; empty: the whole store is older
     bool operator==(const RevisionRefused &) const = default;
 };
 struct StoreUnreachable
@@ -320,7 +378,7 @@
 };
 struct WatchFrom
 {
-    std::uint64_t since = 0;
+    StorePosition since;
 };
 struct PauseUntil
 {
@@ -330,7 +388,7 @@
 
 struct FollowerState
 {
-    std::uint64_t revision = 0;             // every change to declared kinds up to it is in force or in `skipped`
+    StorePosition position;                 // every change to declared kinds up to it is in force or in `skipped`
     bool isStoreReachable = false;          // the last call to the store got a response
     std::optional<TimePoint> lastContactAt; // start of the last answered call to the store, by this Vm or a peer
     std::vector<ObjectSkipped> skipped;     // stored objects whose current version isn't in force
--- a/packages/store/src/checked_store.cpp
+++ b/packages/store/src/checked_store.cpp
@@ -27,13 +27,13 @@
 // condition of the write still holds, and OutcomeUnknown otherwise.
 Result<std::optional<Object>> readBack(ObjectStore &store, const Object &wanted, const WriteCondition &condition)
 {
-    const Result<Object> stored = store.get(wanted.kind(), wanted.name);
-    if (stored && stored->spec == wanted.spec) {
-        return *stored;
+    const Result<StoredObject> stored = store.get(wanted.kind(), wanted.name);
+    if (stored && stored->object.spec == wanted.spec) {
+        return stored->object;
     }
     const auto *version = std::get_if<MustHaveVersion>(&condition);
     const bool isAbsent = !stored && stored.error().code == ErrorCode::NotFound;
-    const bool isUnchanged = version == nullptr ? isAbsent : stored && stored->version == version->version;
+    const bool isUnchanged = version == nullptr ? isAbsent : stored && stored->object.version == version->version;
     if (isUnchanged) {
         return std::optional<Object>();
     }
@@ -41,7 +41,7 @@
         Error{.code = ErrorCode::OutcomeUnknown,
               .path = formatObjectId(wanted.kind(), wanted.name),
               .detail = "the response was lost, and the stored object doesn't show whether the write took effect; read it again",
-              .version = stored ? stored->version : 0});
+              .version = stored ? stored->object.version : 0});
 }
 
 bool isDefinitive(const Error &error)
@@ -80,7 +80,7 @@
 {
 }
 
-Result<Object> CheckedStore::get(Kind kind, const std::string &name)
+Result<StoredObject> CheckedStore::get(Kind kind, const std::string &name)
 {
     return m_store.get(kind, name);
 }
@@ -90,7 +90,7 @@
     return m_store.list(kinds);
 }
 
-Result<Changes> CheckedStore::watch(std::uint64_t since, const std::vector<Kind> &kinds, Duration wait)
+Result<Changes> CheckedStore::watch(const StorePosition &since, const std::vector<Kind> &kinds, Duration wait)
 {
     return m_store.watch(since, kinds, wait);
 }
@@ -159,7 +159,7 @@
     return putVerified(m_store, object, condition);
 }
 
-Result<void> CheckedStore::remove(Kind kind, const std::string &name, std::uint64_t version)
+Result<void> CheckedStore::remove(Kind kind, const std::string &name, const MustHaveVersion &condition)
 {
     if (isSystemKind(kind)) {
         return tl::unexpected(systemKindError(kind, name));
@@ -167,9 +167,9 @@
     if (Result<void> checked = checkChange(kind, name, nullptr); !checked) {
         return checked;
     }
-    Result<void> removed = m_store.remove(kind, name, version);
+    Result<void> removed = m_store.remove(kind, name, condition);
     if (!removed && removed.error().code == ErrorCode::OutcomeUnknown) {
-        const Result<Object> stored = m_store.get(kind, name);
+        const Result<StoredObject> stored = m_store.get(kind, name);
         if (!stored && stored.error().code == ErrorCode::NotFound) {
             return {};
         }
--- a/packages/store/src/follower_core.cpp
+++ b/packages/store/src/follower_core.cpp
@@ -48,7 +48,7 @@
     if (m_isListRequired || now >= m_nextListAt) {
         return ListNow{};
     }
-    return WatchFrom{m_state.revision};
+    return WatchFrom{m_state.position};
 }
 
 void FollowerCore::recordFailure(const Error &error, TimePoint now, Notices &notices)
@@ -75,8 +75,8 @@
 // Versions only increase, so an object with an older version than before proves that the store lost writes.
 std::optional<RevisionRefused> FollowerCore::findRollback(const ObjectList &list) const
 {
-    RevisionRefused refused{.offered = list.revision, .inForce = m_state.revision};
-    if (list.revision < m_state.revision) {
+    RevisionRefused refused{.offered = list.position, .inForce = m_state.position};
+    if (list.position.revision() < m_state.position.revision()) {
         return refused;
     }
     for (const Object &it : list.items) {
@@ -103,8 +103,8 @@
             m_stored[{it.kind, it.name}] = Entry{.version = it.version, .error = it.error};
         }
     }
-    m_listRevision = list.revision;
-    m_state.revision = list.revision;
+    m_listRevision = list.position.revision();
+    m_state.position = list.position;
     m_isListRequired = false;
 }
 
@@ -184,7 +184,7 @@
     for (const UndecodableObject &it : changes->undecodable) {
         isChanged = applyChange({it.kind, it.name}, ChangeType::Put, Entry{.version = it.version, .error = it.error}) || isChanged;
     }
-    m_state.revision = std::max(m_state.revision, changes->revision);
+    m_state.position = std::max(m_state.position, changes->position);
     if (isChanged) {
         rebuild(notices);
     }
@@ -254,7 +254,7 @@
     if (m_hasSnapshot && byId == m_inForce) {
         return;
     }
-    Result<std::shared_ptr<const Snapshot>> snapshot = Snapshot::build(objects, m_state.revision);
+    Result<std::shared_ptr<const Snapshot>> snapshot = Snapshot::build(objects, m_state.position.revision());
     POLLENSPOKE_ASSERT(snapshot.has_value(), "Snapshot::build() must accept every set of objects in which findProblems() finds none");
     m_inForce = std::move(byId);
     m_hasSnapshot = true;
--- a/packages/store/src/http_store.cpp
+++ b/packages/store/src/http_store.cpp
@@ -2,6 +2,7 @@
 #include "wire.h"
 
 #include <algorithm>
+#include <charconv>
 
 namespace Pollenspoke {
 
@@ -12,17 +13,25 @@
     return "/v1/objects/" + std::string(kindName(kind)) + "/" + name;
 }
 
-HttpHeader matchVersion(std::uint64_t version)
+std::vector<HttpHeader> conditionHeaders(const WriteCondition &condition)
 {
-    return {"If-Match", "\"" + std::to_string(version) + "\""};
+    const auto *required = std::get_if<MustHaveVersion>(&condition);
+    if (required == nullptr) {
+        return {{"If-None-Match", "*"}};
+    }
+    std::vector<HttpHeader> headers{{"If-Match", "\"" + std::to_string(required->version) + "\""}};
+    if (required->era != 0) {
+        headers.emplace_back(eraHeader, std::to_string(required->era));
+    }
+    return headers;
 }
 
-HttpHeader conditionHeader(const WriteCondition &condition)
+std::uint64_t numberHeader(const HttpReply &reply, const std::string &name)
 {
-    if (const auto *required = std::get_if<MustHaveVersion>(&condition)) {
-        return matchVersion(required->version);
-    }
-    return {"If-None-Match", "*"};
+    const std::string text = findHeader(reply.headers, name);
+    std::uint64_t number = 0; // stays 0 if there is no such header
+    std::from_chars(text.data(), text.data() + text.size(), number);
+    return number;
 }
 
 bool isWrite(const HttpRequest &request)
@@ -87,13 +96,17 @@
     return toResult(request, m_client.send(request, timeoutMs));
 }
 
-Result<Object> HttpObjectStore::get(Kind kind, const std::string &name)
+Result<StoredObject> HttpObjectStore::get(Kind kind, const std::string &name)
 {
     const Result<HttpReply> reply = call({"GET", objectPath(kind, name), "", {}, ""}, m_options.timeoutMs);
     if (!reply) {
         return tl::unexpected(reply.error());
     }
-    return parseJson(reply->body);
+    const Result<Object> object = parseJson(reply->body);
+    if (!object) {
+        return tl::unexpected(object.error());
+    }
+    return StoredObject{.object = *object, .era = numberHeader(*reply, eraHeader), .eraStart = numberHeader(*reply, eraStartHeader)};
 }
 
 Result<ObjectList> HttpObjectStore::listKinds(const std::vector<Kind> &kinds) const
@@ -109,9 +122,14 @@
             return part;
         }
         const bool isFirst = it == kinds.front();
-        merged.revision = isFirst ? part->revision : std::min(merged.revision, part->revision);
+        if (!isFirst && part->eras != merged.eras) {
+            return tl::unexpected(Error{.code = ErrorCode::TooOld, .path = "eras", .detail = "the store was restored during the list"});
+        }
+        merged.position = isFirst ? part->position : std::min(merged.position, part->position);
+        merged.eras = part->eras;
         std::move(part->items.begin(), part->items.end(), std::back_inserter(merged.items));
         std::move(part->undecodable.begin(), part->undecodable.end(), std::back_inserter(merged.undecodable));
+        std::move(part->removed.begin(), part->removed.end(), std::back_inserter(merged.removed));
     }
     return merged;
 }
@@ -124,12 +142,17 @@
     }
     // The store may change between the calls. The result has the lowest revision of them, so that a watch from it returns all
     // changes that a list misses.
-    return listKinds(required);
+    Result<ObjectList> list = listKinds(required);
+    if (!list && list.error().code == ErrorCode::TooOld) {
+        list = listKinds(required);
+    }
+    return list;
 }
 
 Result<Object> HttpObjectStore::put(const Object &object, const WriteCondition &condition)
 {
-    const std::vector<HttpHeader> headers{conditionHeader(condition), {"Content-Type", "application/json"}};
+    std::vector<HttpHeader> headers = conditionHeaders(condition);
+    headers.emplace_back("Content-Type", "application/json");
     const Result<HttpReply> reply = call({"PUT", objectPath(object.kind(), object.name), "", headers, toJson(object)}, m_options.timeoutMs);
     if (!reply) {
         return tl::unexpected(reply.error());
@@ -147,18 +170,19 @@
     return decodeWriteReply(*reply);
 }
 
-Result<void> HttpObjectStore::remove(Kind kind, const std::string &name, std::uint64_t version)
+Result<void> HttpObjectStore::remove(Kind kind, const std::string &name, const MustHaveVersion &condition)
 {
-    const Result<HttpReply> reply = call({"DELETE", objectPath(kind, name), "", {matchVersion(version)}, ""}, m_options.timeoutMs);
+    const Result<HttpReply> reply = call({"DELETE", objectPath(kind, name), "", conditionHeaders(condition), ""}, m_options.timeoutMs);
     if (!reply) {
         return tl::unexpected(reply.error());
     }
     return {};
 }
 
-Result<Changes> HttpObjectStore::watch(std::uint64_t since, const std::vector<Kind> &kinds, Duration wait)
+Result<Changes> HttpObjectStore::watch(const StorePosition &since, const std::vector<Kind> &kinds, Duration wait)
 {
-    std::string query = "since=" + std::to_string(since) + "&wait_ms=" + std::to_string(toMilliseconds(wait));
+    std::string query = "since=" + std::to_string(since.revision()) + "&wait_ms=" + std::to_string(toMilliseconds(wait));
+    query += since.era() == 0 ? "" : "&era=" + std::to_string(since.era());
     query += kinds.empty() ? "" : "&kinds=" + joinKinds(kinds);
     const Result<HttpReply> reply = call({"GET", "/v1/objects", query, {}, ""}, m_options.timeoutMs + toMilliseconds(wait));
     if (!reply) {
--- a/packages/store/src/memory_store.cpp
+++ b/packages/store/src/memory_store.cpp
@@ -29,6 +29,11 @@
         Error{.code = ErrorCode::VersionConflict, .path = formatObjectId(kind, name), .detail = detail, .version = currentVersion});
 }
 
+Error tooOldError()
+{
+    return Error{.code = ErrorCode::TooOld, .detail = "the changes since that revision are no longer available; list again"};
+}
+
 Error lostResponseError(Kind kind, const std::string &name)
 {
     return Error{.code = ErrorCode::OutcomeUnknown,
@@ -88,7 +93,20 @@
     m_changed.notify_all();
 }
 
-Result<Object> MemoryStore::get(Kind kind, const std::string &name)
+// A list doesn't show which object of a lost era has been written again and deleted since, so these deletions are kept.
+void MemoryStore::recordRemoval(const ObjectId &id)
+{
+    if (m_eras == StoreEras::first()) {
+        return;
+    }
+    m_removed[id] = m_revision;
+    if (m_removed.size() > m_maxHistory) {
+        m_removed.erase(
+            std::min_element(m_removed.begin(), m_removed.end(), [](const auto &a, const auto &b) { return a.second < b.second; }));
+    }
+}
+
+Result<StoredObject> MemoryStore::get(Kind kind, const std::string &name)
 {
     applyExtraLatency();
     const std::lock_guard lock(m_mutex);
@@ -97,9 +115,9 @@
     }
     const auto it = m_objects.find({kind, name});
     if (it == m_objects.end()) {
-        return fail<Object>(ErrorCode::NotFound, kind, name, "no such object");
+        return fail<StoredObject>(ErrorCode::NotFound, kind, name, "no such object");
     }
-    return it->second;
+    return StoredObject{.object = it->second, .era = m_eras.era(), .eraStart = m_eras.start()};
 }
 
 Result<ObjectList> MemoryStore::list(const std::vector<Kind> &kinds)
@@ -109,12 +127,17 @@
     if (const auto begun = beginCall(); !begun) {
         return tl::unexpected(begun.error());
     }
-    ObjectList listed{.revision = m_revision};
+    ObjectList listed{.position = {m_eras.era(), m_revision}, .eras = m_eras};
     for (const auto &[id, object] : m_objects) {
         if (isKindSelected(id.first, kinds)) {
             listed.items.push_back(object);
         }
     }
+    for (const auto &[id, version] : m_removed) {
+        if (isKindSelected(id.first, kinds)) {
+            listed.removed.push_back(RemovedObject{.kind = id.first, .name = id.second, .version = version});
+        }
+    }
     return listed;
 }
 
@@ -129,16 +152,18 @@
     const std::uint64_t currentVersion = it == m_objects.end() ? 0 : it->second.version;
     const auto *required = std::get_if<MustHaveVersion>(&condition);
     const std::uint64_t expected = required == nullptr ? 0 : required->version;
+    const bool isOtherEra = required != nullptr && required->era != 0 && required->era != m_eras.era();
     if (required != nullptr && currentVersion == 0) {
         return fail<Object>(ErrorCode::NotFound, object.kind(), object.name, "no such object");
     }
-    if (currentVersion != expected) {
+    if (currentVersion != expected || isOtherEra) {
         return versionConflict(object.kind(), object.name, currentVersion);
     }
     Object stored = object;
     stored.version = ++m_revision;
     stored.status = it == m_objects.end() ? std::string() : it->second.status;
     m_objects[{object.kind(), object.name}] = stored;
+    m_removed.erase({object.kind(), object.name});
     record(ChangeType::Put, stored);
     if (loseResponse()) {
         return tl::unexpected(lostResponseError(object.kind(), object.name));
@@ -166,7 +191,7 @@
     return it->second;
 }
 
-Result<void> MemoryStore::remove(Kind kind, const std::string &name, std::uint64_t version)
+Result<void> MemoryStore::remove(Kind kind, const std::string &name, const MustHaveVersion &condition)
 {
     applyExtraLatency();
     const std::lock_guard lock(m_mutex);
@@ -177,12 +202,13 @@
     if (it == m_objects.end()) {
         return fail<void>(ErrorCode::NotFound, kind, name, "no such object");
     }
-    if (it->second.version != version) {
+    if (it->second.version != condition.version || (condition.era != 0 && condition.era != m_eras.era())) {
         return tl::unexpected(versionConflict(kind, name, it->second.version).error());
     }
     Object removed = it->second;
     removed.version = ++m_revision;
     m_objects.erase(it);
+    recordRemoval({kind, name});
     record(ChangeType::Delete, removed);
     if (loseResponse()) {
         return tl::unexpected(lostResponseError(kind, name));
@@ -192,7 +218,7 @@
 
 Changes MemoryStore::changesSince(std::uint64_t since, const std::vector<Kind> &kinds) const
 {
-    Changes changes{.revision = m_revision};
+    Changes changes{.position = {m_eras.era(), m_revision}};
     auto it = std::upper_bound(m_history.begin(), m_history.end(), since, [](std::uint64_t revision, const Change &change) {
         return revision < change.object.version;
     });
@@ -208,22 +234,28 @@
     return changes;
 }
 
-Result<Changes> MemoryStore::watch(std::uint64_t since, const std::vector<Kind> &kinds, Duration wait)
+Result<Changes> MemoryStore::watch(const StorePosition &since, const std::vector<Kind> &kinds, Duration wait)
 {
     applyExtraLatency();
     std::unique_lock lock(m_mutex);
     if (const auto begun = beginCall(); !begun) {
         return tl::unexpected(begun.error());
     }
-    if (since < m_compactedRevision || since > m_revision) {
-        return tl::unexpected(
-            Error{.code = ErrorCode::TooOld, .detail = "the changes since that revision are no longer available; list again"});
+    const std::uint64_t era = m_eras.era();
+    const bool isOtherEra = since.era() != 0 && since.era() != era;
+    if (isOtherEra || since.revision() < m_compactedRevision || since.revision() > m_revision) {
+        return tl::unexpected(tooOldError());
     }
-    m_changed.wait_for(lock, wait, [&] { return m_watchesEnded || m_faults.isDown || !changesSince(since, kinds).events.empty(); });
+    m_changed.wait_for(lock, wait, [&] {
+        return m_watchesEnded || m_faults.isDown || m_eras.era() != era || !changesSince(since.revision(), kinds).events.empty();
+    });
     if (m_faults.isDown) {
         return tl::unexpected(Error{.code = ErrorCode::Unavailable, .detail = "the object store is unavailable"});
     }
-    return changesSince(since, kinds);
+    if (m_eras.era() != era) {
+        return tl::unexpected(tooOldError());
+    }
+    return changesSince(since.revision(), kinds);
 }
 
 void MemoryStore::setFaults(const StoreFaults &faults)
@@ -242,13 +274,15 @@
 StoreBackup MemoryStore::backup() const
 {
     const std::lock_guard lock(m_mutex);
-    return StoreBackup{.objects = m_objects, .revision = m_revision};
+    return StoreBackup{.objects = m_objects, .revision = m_revision, .eras = m_eras, .removed = m_removed};
 }
 
 void MemoryStore::restore(const StoreBackup &backup)
 {
     const std::lock_guard lock(m_mutex);
+    m_eras = backup.eras.restoredAs(m_eras.era() + 1, backup.revision);
     m_objects = backup.objects;
+    m_removed = backup.removed;
     m_revision = backup.revision;
     m_compactedRevision = backup.revision;
     m_history.clear();
--- a/packages/store/src/object_service.cpp
+++ b/packages/store/src/object_service.cpp
@@ -55,6 +55,15 @@
     return {200, {{"Content-Type", "application/json"}}, formatJsonText(value)};
 }
 
+HttpReply positionReply(const JsonValue &value, const StorePosition &position)
+{
+    HttpReply reply = jsonReply(value);
+    if (position.era() > 0) {
+        reply.headers.emplace_back(eraHeader, std::to_string(position.era()));
+    }
+    return reply;
+}
+
 HttpReply objectReply(const Result<Object> &object)
 {
     if (!object) {
@@ -65,6 +74,19 @@
     return reply;
 }
 
+HttpReply objectReply(const Result<StoredObject> &stored)
+{
+    if (!stored) {
+        return encodeProblem(stored.error());
+    }
+    HttpReply reply = objectReply(Result<Object>(stored->object));
+    if (stored->era > 0) {
+        reply.headers.emplace_back(eraHeader, std::to_string(stored->era));
+        reply.headers.emplace_back(eraStartHeader, std::to_string(stored->eraStart));
+    }
+    return reply;
+}
+
 // Parses the version from a header such as `If-Match: "7"`.
 std::optional<std::uint64_t> ifMatchVersion(const HttpRequest &request)
 {
@@ -75,6 +97,17 @@
     return parseUnsigned(text.substr(1, text.size() - 2));
 }
 
+// Parses the era in which the required version was read; 0 if the client doesn't tell.
+Result<std::uint64_t> parseRequiredEra(const HttpRequest &request)
+{
+    const std::string text = findHeader(request.headers, eraHeader);
+    const std::optional<std::uint64_t> era = text.empty() ? 0 : parseUnsigned(text);
+    if (!era) {
+        return tl::unexpected(Error{.code = ErrorCode::OutOfRange, .path = eraHeader, .detail = "must be an era of the store"});
+    }
+    return *era;
+}
+
 Result<WriteCondition> parseCondition(const HttpRequest &request)
 {
     const bool hasMatch = !findHeader(request.headers, "If-Match").empty();
@@ -92,7 +125,11 @@
         return tl::unexpected(
             Error{.code = ErrorCode::OutOfRange, .path = path, .detail = hasMatch ? "must be a quoted version" : "must be *"});
     }
-    return WriteCondition(MustHaveVersion{*version});
+    const Result<std::uint64_t> era = parseRequiredEra(request);
+    if (!era) {
+        return tl::unexpected(era.error());
+    }
+    return WriteCondition(MustHaveVersion{.version = *version, .era = *era});
 }
 
 Result<std::vector<Kind>> parseKinds(const std::string &text)
@@ -152,7 +189,7 @@
     }
     if (parts.size() == 2 && isGet) {
         const Result<ObjectList> list = m_operators.list({*kind});
-        return list ? jsonReply(encodeList(*list)) : encodeProblem(list.error());
+        return list ? positionReply(encodeList(*list), list->position) : encodeProblem(list.error());
     }
     if (parts.size() == 3 && isGet) {
         return objectReply(m_operators.get(*kind, parts[2]));
@@ -184,8 +221,14 @@
     if (!kinds) {
         return encodeProblem(kinds.error());
     }
-    const Result<Changes> changes = m_operators.watch(*since, *kinds, std::chrono::milliseconds(std::min(*wait, maxWatchWaitMs)));
-    return changes ? jsonReply(encodeChanges(*changes)) : encodeProblem(changes.error());
+    const std::string eraText = queryValue(request.query, "era");
+    const std::optional<std::uint64_t> era = eraText.empty() ? 0 : parseUnsigned(eraText);
+    if (!era) {
+        return errorReply(ErrorCode::OutOfRange, "era", "must be an era of the store");
+    }
+    const auto boundedWait = std::chrono::milliseconds(std::min(*wait, maxWatchWaitMs));
+    const Result<Changes> changes = m_operators.watch({*era, *since}, *kinds, boundedWait);
+    return changes ? positionReply(encodeChanges(*changes), changes->position) : encodeProblem(changes.error());
 }
 
 HttpReply ObjectService::handlePut(const HttpRequest &request, Kind kind, const std::string &name)
@@ -220,7 +263,11 @@
     if (!version) {
         return errorReply(ErrorCode::MissingField, "If-Match", "must be a quoted version");
     }
-    const Result<void> removed = storeFor(request).remove(kind, name, *version);
+    const Result<std::uint64_t> era = parseRequiredEra(request);
+    if (!era) {
+        return encodeProblem(era.error());
+    }
+    const Result<void> removed = storeFor(request).remove(kind, name, {.version = *version, .era = *era});
     return removed ? jsonReply(JsonValue::makeObject()) : encodeProblem(removed.error());
 }
 
--- a/packages/store/src/wire.cpp
+++ b/packages/store/src/wire.cpp
@@ -101,6 +101,45 @@
     return rows;
 }
 
+void addEras(JsonValue &response, const StoreEras &eras)
+{
+    if (eras.list().empty()) {
+        return;
+    }
+    JsonValue &rows = response.add("eras", JsonValue::makeList());
+    for (const StoreEras::Era &it : eras.list()) {
+        JsonValue &row = rows.append(JsonValue::makeObject());
+        row.addNumber("era", static_cast<double>(it.era));
+        row.addNumber("start", static_cast<double>(it.start));
+    }
+}
+
+Result<StoreEras> decodeEras(const JsonValue &response)
+{
+    const JsonValue *rows = response.find("eras");
+    if (rows == nullptr) {
+        return StoreEras(); // a server of an earlier release
+    }
+    std::vector<StoreEras::Era> eras;
+    for (const JsonValue &it : rows->items) {
+        eras.push_back(StoreEras::Era{.era = memberCount(it, "era"), .start = memberCount(it, "start")});
+    }
+    return StoreEras::fromList(std::move(eras));
+}
+
+void decodeRemoved(const JsonValue &response, ObjectList &list)
+{
+    const JsonValue *rows = response.find("removed");
+    if (rows == nullptr) {
+        return;
+    }
+    for (const JsonValue &it : rows->items) {
+        if (const std::optional<Kind> kind = kindFromName(memberText(it, "kind"))) {
+            list.removed.push_back(RemovedObject{.kind = *kind, .name = memberText(it, "name"), .version = memberCount(it, "version")});
+        }
+    }
+}
+
 UndecodableObject makeUndecodable(const JsonValue &envelope, Kind kind, const Error &error)
 {
     return UndecodableObject{
@@ -208,11 +247,22 @@
 JsonValue encodeList(const ObjectList &list)
 {
     JsonValue response = JsonValue::makeObject();
-    response.addNumber("revision", static_cast<double>(list.revision));
+    response.addNumber("revision", static_cast<double>(list.position.revision()));
+    addEras(response, list.eras);
     JsonValue &items = response.add("items", JsonValue::makeList());
     for (const Object &it : list.items) {
         items.append(encodeJson(it));
     }
+    if (list.removed.empty()) {
+        return response;
+    }
+    JsonValue &removed = response.add("removed", JsonValue::makeList());
+    for (const RemovedObject &it : list.removed) {
+        JsonValue &row = removed.append(JsonValue::makeObject());
+        row.add("kind", std::string(kindName(it.kind)));
+        row.add("name", it.name);
+        row.addNumber("version", static_cast<double>(it.version));
+    }
     return response;
 }
 
@@ -226,7 +276,12 @@
     if (!rows) {
         return tl::unexpected(rows.error());
     }
-    ObjectList list{.revision = memberCount(*response, "revision")};
+    const Result<StoreEras> eras = decodeEras(*response);
+    if (!eras) {
+        return tl::unexpected(eras.error());
+    }
+    ObjectList list{.position = {eras->era(), memberCount(*response, "revision")}, .eras = *eras};
+    decodeRemoved(*response, list);
     for (const JsonValue &it : (*rows)->items) {
         const std::optional<Kind> kind = kindFromName(memberText(it, "kind"));
         Result<Object> object = decodeJson(it);
@@ -242,7 +297,10 @@
 JsonValue encodeChanges(const Changes &changes)
 {
     JsonValue response = JsonValue::makeObject();
-    response.addNumber("revision", static_cast<double>(changes.revision));
+    response.addNumber("revision", static_cast<double>(changes.position.revision()));
+    if (changes.position.era() > 0) {
+        response.addNumber("era", static_cast<double>(changes.position.era()));
+    }
     JsonValue &events = response.add("events", JsonValue::makeList());
     for (const Change &it : changes.events) {
         JsonValue &event = events.append(JsonValue::makeObject());
@@ -262,7 +320,7 @@
     if (!rows) {
         return tl::unexpected(rows.error());
     }
-    Changes changes{.revision = memberCount(*response, "revision")};
+    Changes changes{.position = {memberCount(*response, "era"), memberCount(*response, "revision")}};
     for (const JsonValue &it : (*rows)->items) {
         if (const Result<void> decoded = decodeEvent(it, changes); !decoded) {
             return tl::unexpected(decoded.error());
--- a/packages/store/src/wire.h
+++ b/packages/store/src/wire.h
@@ -7,6 +7,8 @@
 namespace Pollenspoke {
 
 inline constexpr const char *writerHeader = "Pollenspoke-Writer"; // "system" marks internal writes
+inline constexpr const char *eraHeader = "Pollenspoke-Store-Era"; // of the store; in a write: when the required version was read
+inline constexpr const char *eraStartHeader = "Pollenspoke-Store-Era-Start";
 
 unsigned httpStatusFor(ErrorCode code); // HTTP status of an error response
 HttpReply encodeProblem(const Error &error);
--- a/packages/store/tests/test_checked_store.cpp
+++ b/packages/store/tests/test_checked_store.cpp
@@ -14,7 +14,7 @@
     HttpObjectStore store = storeServer.client();
     HttpObjectStore system = storeServer.client(true);
 
-    std::uint64_t revision() { return memory.list({})->revision; }
+    std::uint64_t revision() { return memory.list({})->position.revision(); }
 };
 
 } // namespace
@@ -43,13 +43,13 @@
     BOOST_REQUIRE(store.put(makeAccount("a"), MustNotExist{}));
     const auto key = store.put(makeKey("k", "a"), MustNotExist{});
     BOOST_REQUIRE(key);
-    const auto refused = store.remove(Kind::ClientAccount, "a", 1);
+    const auto refused = store.remove(Kind::ClientAccount, "a", {1});
     BOOST_REQUIRE(!refused);
     BOOST_TEST((refused.error().code == ErrorCode::DanglingReference));
     BOOST_TEST(refused.error().path == "Key/k: spec.account");
     BOOST_TEST(revision() == 2);
-    BOOST_REQUIRE(store.remove(Kind::Key, "k", key->version));
-    BOOST_TEST(store.remove(Kind::ClientAccount, "a", 1).has_value());
+    BOOST_REQUIRE(store.remove(Kind::Key, "k", {key->version}));
+    BOOST_TEST(store.remove(Kind::ClientAccount, "a", {1}).has_value());
 }
 
 BOOST_FIXTURE_TEST_CASE(invalid_object_does_not_block_writes_of_other_objects, Fixture)
@@ -68,8 +68,8 @@
         BOOST_TEST((store.put(it, MustNotExist{}).error().code == ErrorCode::NotAllowed));
         const auto written = system.put(it, MustNotExist{});
         BOOST_REQUIRE(written);
-        BOOST_TEST((*store.get(it.kind(), it.name) == *written));
-        BOOST_TEST((store.remove(it.kind(), it.name, written->version).error().code == ErrorCode::NotAllowed));
+        BOOST_TEST((store.get(it.kind(), it.name)->object == *written));
+        BOOST_TEST((store.remove(it.kind(), it.name, {written->version}).error().code == ErrorCode::NotAllowed));
         BOOST_TEST((store.putStatus(it.kind(), it.name, "{}").error().code == ErrorCode::NotAllowed));
     }
     BOOST_TEST(revision() == 2);
@@ -81,7 +81,7 @@
     const auto written = store.put(makeAccount("a"), MustNotExist{});
     BOOST_REQUIRE_MESSAGE(written, errorText(written));
     memory.setFaults({.lostResponses = 1});
-    BOOST_TEST(store.remove(Kind::ClientAccount, "a", written->version).has_value());
+    BOOST_TEST(store.remove(Kind::ClientAccount, "a", {written->version}).has_value());
 }
 
 BOOST_FIXTURE_TEST_CASE(write_to_an_unavailable_store_is_reported_as_not_executed, Fixture)
@@ -101,6 +101,6 @@
     BOOST_REQUIRE(!reactivated);
     BOOST_TEST((reactivated.error().code == ErrorCode::NotAllowed));
     BOOST_TEST(reactivated.error().path == "Key/k: spec.state");
-    BOOST_TEST((std::get<Key>(store.get(Kind::Key, "k")->spec).state == KeyState::Withdrawn));
+    BOOST_TEST((std::get<Key>(store.get(Kind::Key, "k")->object.spec).state == KeyState::Withdrawn));
     BOOST_TEST(store.put(makeKey("k", "a", 'c'), MustHaveVersion{withdrawn->version}).has_value());
 }
--- a/packages/store/tests/test_config_follower.cpp
+++ b/packages/store/tests/test_config_follower.cpp
@@ -81,7 +81,7 @@
     SteadyClock clock;
     ConfigFollower follower(memory, clock, {}, [](const FollowerNotice &) {});
     follower.start();
-    follower.offerPeerList(ObjectList{.revision = 3}, clock.now());
-    BOOST_TEST(follower.state().revision == 3);
+    follower.offerPeerList(ObjectList{.position = {0, 3}}, clock.now());
+    BOOST_TEST(follower.state().position.revision() == 3);
     follower.requestStop();
 }
--- a/packages/store/tests/test_follower_core.cpp
+++ b/packages/store/tests/test_follower_core.cpp
@@ -73,7 +73,7 @@
 
 ObjectList makeList(std::uint64_t revision, std::vector<Object> objects)
 {
-    return ObjectList{.revision = revision, .items = std::move(objects)};
+    return ObjectList{.position = {0, revision}, .items = std::move(objects)};
 }
 
 Object withVersion(std::uint64_t version, Object object)
@@ -84,7 +84,7 @@
 
 Changes makeChanges(std::uint64_t revision, std::vector<Change> events)
 {
-    return Changes{.revision = revision, .events = std::move(events)};
+    return Changes{.position = {0, revision}, .events = std::move(events)};
 }
 
 } // namespace
@@ -99,10 +99,10 @@
     harness.step();
     BOOST_TEST(harness.rate("a") == 2);
     BOOST_TEST(harness.inForce->revision() == 2);
-    BOOST_REQUIRE(harness.store.remove(Kind::ClientAccount, "a", 2));
+    BOOST_REQUIRE(harness.store.remove(Kind::ClientAccount, "a", {2}));
     harness.step();
     BOOST_TEST(harness.rate("a") == 0);
-    BOOST_TEST(harness.core.state().revision == 3);
+    BOOST_TEST(harness.core.state().position.revision() == 3);
     BOOST_TEST(harness.listCalls == 1);
 }
 
@@ -113,7 +113,7 @@
     const auto before = harness.noticesOf<SnapshotReady>().size();
     BOOST_REQUIRE(harness.store.put(Object{.name = "a", .spec = QuotaGrant()}, MustNotExist{}));
     harness.step();
-    BOOST_TEST(harness.core.state().revision == 1);
+    BOOST_TEST(harness.core.state().position.revision() == 1);
     BOOST_TEST(harness.noticesOf<SnapshotReady>().size() == before);
 }
 
@@ -162,10 +162,10 @@
     for (int i = 0; i < 150; ++i) {
         BOOST_REQUIRE(harness.store.put(makeAccount("a" + std::to_string(i), 3), MustNotExist{}));
     }
-    BOOST_TEST((harness.store.watch(0, {}, 0s).error().code == ErrorCode::TooOld));
+    BOOST_TEST((harness.store.watch({0, 0}, {}, 0s).error().code == ErrorCode::TooOld));
     harness.run(2);
     BOOST_TEST(harness.rate("a0") == 3);
-    BOOST_TEST(harness.core.state().revision == 150);
+    BOOST_TEST(harness.core.state().position.revision() == 150);
     BOOST_TEST(harness.listCalls == 2);
     BOOST_TEST(harness.noticesOf<StoreUnreachable>().empty());
 }
@@ -205,7 +205,7 @@
     harness.store.restore(backup);
     harness.run(20);
     BOOST_TEST(harness.rate("a") == 2);
-    BOOST_TEST((harness.noticesOf<RevisionRefused>() == std::vector<RevisionRefused>{{.offered = 1, .inForce = 2}}));
+    BOOST_TEST((harness.noticesOf<RevisionRefused>() == std::vector<RevisionRefused>{{.offered = {2, 1}, .inForce = {1, 2}}}));
     BOOST_TEST(harness.core.state().isStoreReachable);
     BOOST_TEST(harness.core.state().refused.has_value());
     // The restored store's revision overtakes that of the follower, but the object still has its version from before the lost write.
--- a/packages/store/tests/test_http_store.cpp
+++ b/packages/store/tests/test_http_store.cpp
@@ -20,16 +20,16 @@
 {
     const auto written = store.put(makeAccount("a", 2.5), MustNotExist{});
     BOOST_REQUIRE_MESSAGE(written, errorText(written));
-    BOOST_TEST((*written == *memory.get(Kind::ClientAccount, "a")));
-    BOOST_TEST((*store.get(Kind::ClientAccount, "a") == *written));
+    BOOST_TEST((*written == memory.get(Kind::ClientAccount, "a")->object));
+    BOOST_TEST((store.get(Kind::ClientAccount, "a")->object == *written));
     const auto withStatus = store.putStatus(Kind::ClientAccount, "a", R"({"seen":3})");
     BOOST_REQUIRE(withStatus);
     BOOST_TEST(withStatus->status == R"({"seen":3})");
     const auto list = store.list({Kind::ClientAccount, Kind::Key});
     BOOST_REQUIRE(list);
-    BOOST_TEST(list->revision == 2);
+    BOOST_TEST(list->position.revision() == 2);
     BOOST_TEST((list->items == std::vector<Object>{*withStatus}));
-    BOOST_REQUIRE(store.remove(Kind::ClientAccount, "a", withStatus->version));
+    BOOST_REQUIRE(store.remove(Kind::ClientAccount, "a", {withStatus->version}));
     BOOST_TEST((memory.get(Kind::ClientAccount, "a").error().code == ErrorCode::NotFound));
 }
 
@@ -61,7 +61,7 @@
     BOOST_REQUIRE(!outdated);
     BOOST_TEST((outdated.error().code == ErrorCode::VersionConflict));
     BOOST_TEST(outdated.error().version == second->version);
-    const auto removed = store.remove(Kind::ClientAccount, "a", first->version);
+    const auto removed = store.remove(Kind::ClientAccount, "a", {first->version});
     BOOST_REQUIRE(!removed);
     BOOST_TEST(removed.error().version == second->version);
     BOOST_TEST((store.put(makeAccount("a", 3), MustNotExist{}).error().version == second->version));
@@ -71,14 +71,75 @@
 {
     BOOST_REQUIRE(memory.put(makeAccount("a"), MustNotExist{}));
     std::thread writer([this] { (void)memory.put(makeAccount("b"), MustNotExist{}); });
-    const auto changes = store.watch(1, {Kind::ClientAccount, Kind::Key}, 10s);
+    const auto changes = store.watch({0, 1}, {Kind::ClientAccount, Kind::Key}, 10s);
     writer.join();
     BOOST_REQUIRE_MESSAGE(changes, errorText(changes));
     BOOST_REQUIRE(changes->events.size() == 1);
     BOOST_TEST(changes->events.front().object.name == "b");
-    BOOST_TEST(changes->revision == 2);
-    BOOST_TEST(store.watch(1, {Kind::Key}, 1ms)->events.empty());
-    BOOST_TEST((store.watch(99, {}, 0s).error().code == ErrorCode::TooOld));
+    BOOST_TEST(changes->position.revision() == 2);
+    BOOST_TEST(store.watch({0, 1}, {Kind::Key}, 1ms)->events.empty());
+    BOOST_TEST((store.watch({0, 99}, {}, 0s).error().code == ErrorCode::TooOld));
+}
+
+// Guards against a client that can't tell a store restored from an older copy from the one that it knew.
+BOOST_FIXTURE_TEST_CASE(era_of_the_store_is_transferred_by_lists_watches_and_conditions, Fixture)
+{
+    BOOST_REQUIRE(memory.put(makeAccount("a"), MustNotExist{}));
+    const StoreBackup backup = memory.backup();
+    BOOST_REQUIRE(memory.put(makeAccount("a", 2), MustHaveVersion{1}));
+    const StorePosition before = store.list({Kind::ClientAccount, Kind::Key})->position;
+    BOOST_TEST((before == StorePosition(1, 2)));
+    memory.restore(backup);
+    BOOST_REQUIRE(store.put(makeAccount("a", 3), MustHaveVersion{.version = 1, .era = 2}));
+    BOOST_REQUIRE(store.put(makeKey("k", "a"), MustNotExist{}));
+    BOOST_REQUIRE(store.remove(Kind::Key, "k", {3}));
+    const auto list = store.list({Kind::ClientAccount, Kind::Key});
+    BOOST_REQUIRE_MESSAGE(list, errorText(list));
+    BOOST_TEST((list->position == StorePosition(2, 4)));
+    BOOST_TEST((list->eras == StoreEras::first().restoredAs(2, 1)));
+    BOOST_TEST((list->removed == std::vector<RemovedObject>{{.kind = Kind::Key, .name = "k", .version = 4}}));
+    BOOST_TEST((store.watch(before, {}, 0s).error().code == ErrorCode::TooOld));
+    BOOST_TEST((store.watch({2, 1}, {}, 0s)->position == StorePosition(2, 4)));
+    BOOST_TEST((store.put(makeAccount("a", 4), MustHaveVersion{.version = 2, .era = 1}).error().code == ErrorCode::VersionConflict));
+    const auto read = store.get(Kind::ClientAccount, "a");
+    BOOST_TEST(read->era == 2);
+    BOOST_TEST(!read->isFromCopy());
+    BOOST_TEST((store.remove(Kind::ClientAccount, "a", {.version = 2, .era = 1}).error().code == ErrorCode::VersionConflict));
+    const HttpReply reply = storeServer.send({"GET", "/v1/objects/ClientAccount", "", {}, ""});
+    BOOST_TEST(findHeader(reply.headers, "Pollenspoke-Store-Era") == "2");
+}
+
+// Guards against a client of a new release that fails on a server which doesn't send eras.
+BOOST_AUTO_TEST_CASE(server_that_sends_no_era_is_in_era_zero)
+{
+    const std::uint16_t port = findFreePort();
+    std::string query;
+    HttpServer server({"127.0.0.1", port}, [&](const HttpRequest &request) {
+        query = request.query;
+        return HttpReply{200, {}, request.query.empty() ? R"({"revision":9,"items":[]})" : R"({"revision":9,"events":[]})"};
+    });
+    HttpObjectStore store({.address = {.ip = "127.0.0.1", .port = port}});
+    BOOST_TEST((store.list({Kind::Key})->position == StorePosition(0, 9)));
+    BOOST_TEST((store.list({Kind::Key})->eras == StoreEras()));
+    BOOST_TEST((store.watch({0, 9}, {}, 0s)->position == StorePosition(0, 9)));
+    BOOST_TEST(query.find("era") == std::string::npos, query);
+}
+
+// Guards against a list put together from parts before and after a restore.
+BOOST_AUTO_TEST_CASE(list_of_several_kinds_never_spans_a_restore)
+{
+    const std::uint16_t port = findFreePort();
+    unsigned calls = 0;
+    HttpServer server({"127.0.0.1", port}, [&](const HttpRequest &) {
+        ++calls;
+        const std::string eras = calls == 1 ? R"([{"era":1,"start":0}])" : R"([{"era":1,"start":0},{"era":2,"start":3}])";
+        return HttpReply{200, {}, R"({"revision":9,"eras":)" + eras + R"(,"items":[]})"};
+    });
+    HttpObjectStore store({.address = {.ip = "127.0.0.1", .port = port}});
+    const auto list = store.list({Kind::ClientAccount, Kind::Key});
+    BOOST_REQUIRE_MESSAGE(list, errorText(list));
+    BOOST_TEST((list->position == StorePosition(2, 9)));
+    BOOST_TEST(calls == 4U);
 }
 
 BOOST_FIXTURE_TEST_CASE(statuses_and_headers_follow_the_protocol, Fixture)
@@ -163,7 +224,7 @@
     status = 502;
     BOOST_TEST((store.get(Kind::Key, "k").error().code == ErrorCode::Unavailable));
     status = 410;
-    BOOST_TEST((store.watch(1, {}, 0s).error().code == ErrorCode::TooOld));
+    BOOST_TEST((store.watch({0, 1}, {}, 0s).error().code == ErrorCode::TooOld));
 }
 
 BOOST_AUTO_TEST_CASE(undecodable_objects_are_returned_separately)
@@ -188,7 +249,7 @@
     BOOST_TEST(list->undecodable.front().name == "bad");
     BOOST_TEST(list->undecodable.front().version == 4);
     BOOST_TEST(list->undecodable.front().error.path == "spec.limits");
-    const auto changes = store.watch(1, {}, 0s);
+    const auto changes = store.watch({0, 1}, {}, 0s);
     BOOST_REQUIRE_MESSAGE(changes, errorText(changes));
     BOOST_REQUIRE(changes->events.size() == 2);
     BOOST_TEST((changes->events.back().type == ChangeType::Delete));
@@ -219,7 +280,7 @@
         : m_store(store)
     {
     }
-    Result<Object> get(Kind kind, const std::string &name) override
+    Result<StoredObject> get(Kind kind, const std::string &name) override
     {
         if (failsReads) {
             return tl::unexpected(Error{.code = ErrorCode::Unavailable});
@@ -249,8 +310,11 @@
     {
         return m_store.putStatus(kind, name, status);
     }
-    Result<void> remove(Kind kind, const std::string &name, std::uint64_t version) override { return m_store.remove(kind, name, version); }
-    Result<Changes> watch(std::uint64_t since, const std::vector<Kind> &kinds, Duration wait) override
+    Result<void> remove(Kind kind, const std::string &name, const MustHaveVersion &condition) override
+    {
+        return m_store.remove(kind, name, condition);
+    }
+    Result<Changes> watch(const StorePosition &since, const std::vector<Kind> &kinds, Duration wait) override
     {
         return m_store.watch(since, kinds, wait);
     }
@@ -275,7 +339,7 @@
     store.lostRequests = 2;
     BOOST_TEST(putVerified(store, makeAccount("a", 5), MustNotExist{}).has_value());
     BOOST_TEST(store.writes == 3);
-    BOOST_TEST(memory.list({})->revision == 1);
+    BOOST_TEST(memory.list({})->position.revision() == 1);
 }
 
 BOOST_AUTO_TEST_CASE(unverified_write_is_reported_as_outcome_unknown)
@@ -301,7 +365,7 @@
     BOOST_REQUIRE(!outcome);
     BOOST_TEST((outcome.error().code == ErrorCode::OutcomeUnknown));
     BOOST_TEST(outcome.error().version == 1);
-    BOOST_TEST((memory.get(Kind::ClientAccount, "a")->spec == makeAccount("a", 77).spec));
+    BOOST_TEST((memory.get(Kind::ClientAccount, "a")->object.spec == makeAccount("a", 77).spec));
 }
 
 BOOST_AUTO_TEST_CASE(delayed_own_write_is_not_mistaken_for_that_of_another_client)
@@ -313,5 +377,5 @@
     const auto written = putVerified(store, makeAccount("a", 5), MustNotExist{});
     BOOST_REQUIRE_MESSAGE(written, errorText(written));
     BOOST_TEST(written->version == 1);
-    BOOST_TEST(memory.list({})->revision == 1);
+    BOOST_TEST(memory.list({})->position.revision() == 1);
 }
