FollowerCore: configuration survives a store that is restored from an older copy

What callers saw: after the store came back from an older copy, a follower refused its contents until every lost object had been written again, took an older state once the revision had passed its own, or missed changes whose revisions had been given out before; what had been deleted could come back.

Cause: states of objects were ordered by bare versions, which a restored store gives out again.

Each state now has the position at which it was written, from the eras in the list. A later position is taken. A state that the store's history doesn't contain was lost and stays in force until the store has a later write or deletion of the object; deletions are remembered for the same reason (at most 10000). One that the history contains but the list has in an older state is a rollback without a new era and is refused as before. Lists of an earlier position, in any order, and changes of another era never apply; changes of a later era lead to a list. A store that begins to tell its era counts as being in its first one.

store_restored_from_a_backup_does_not_roll_back_the_configuration keeps its checks, for a store that doesn't tell its era.

Evidence, store.follower_core on the code before: failed changes_that_a_restored_store_lost_stay_in_force, key_withdrawn_before_a_restore_stays_withdrawn, writes_after_a_restore_are_taken_at_once_although_their_versions_were_seen, changes_at_revisions_given_out_again_are_not_missed, deletion_after_a_restore_ends_what_was_kept, object_of_the_copy_that_is_deleted_before_the_next_list_leaves, late_answers_of_an_earlier_era_change_nothing, changes_of_a_later_era_lead_to_a_list, peer_list_of_a_later_era_keeps_what_the_store_lost, second_restore_keeps_what_the_first_one_lost_and_what_was_written_between, write_between_two_restores_is_taken_by_a_follower_that_missed_it, restore_with_a_dropped_history_keeps_what_was_lost_and_takes_what_was_written, restore_is_reported_once_with_what_was_kept_and_taken, older_state_within_an_era_is_refused_after_a_restore and no_order_of_restores_and_late_answers_reverts_an_object_or_misses_a_write (2000 seeded plays). Passed before as well: follower_that_starts_after_a_restore_uses_the_copy, store_that_begins_to_tell_its_era_is_not_taken_for_restored. object_that_only_the_second_copy_has_is_taken fails if a deletion that only a list showed counts as being as late as the list. The random test first took the first possible deletion for the one that a follower knows, and failed in 8 plays; in each the follower had a later deletion than the state in the store, so it now records the deletions that each answer shows. All pass; 60000 plays too. The process tests (apps.fleet) were not run for this commit.

--- a/apps/pollenspoked/vm.cpp
+++ b/apps/pollenspoked/vm.cpp
@@ -126,6 +126,13 @@
         logEvent(Event::SnapshotRefused,
                  {{"offered", toString(refused->offered)}, {"in_force", toString(refused->inForce)}, {"object", refused->object}},
                  LogLevel::Error);
+    } else if (const auto *restored = std::get_if<StoreRestored>(&notice)) {
+        logEvent(Event::StoreEraChanged,
+                 {{"from", toString(restored->previous)},
+                  {"to", toString(restored->current)},
+                  {"kept", std::to_string(restored->kept)},
+                  {"taken", std::to_string(restored->taken)}},
+                 LogLevel::Warning);
     } else if (const auto *storeLost = std::get_if<StoreUnreachable>(&notice)) {
         m_metrics.count(Counter::StoreFailures);
         logEvent(Event::StoreUnavailable, {{"error", describe(storeLost->error)}}, LogLevel::Warning);
@@ -138,6 +145,7 @@
 {
     const FollowerState state = m_follower.state();
     m_metrics.setGauge(Gauge::FollowedRevision, static_cast<std::int64_t>(state.position.revision()));
+    m_metrics.setGauge(Gauge::StoreEra, static_cast<std::int64_t>(state.position.era()));
     m_metrics.setGauge(Gauge::StoreReachable, state.isStoreReachable ? 1 : 0);
     m_metrics.setGauge(Gauge::StoreAgeMs, storeAgeMs(state, m_clock.now()));
     return {200, {{"Content-Type", "text/plain; version=0.0.4"}}, m_metrics.expose()};
@@ -151,6 +159,7 @@
     status.add("failure_domain", m_settings.proxy.failureDomain.value);
     status.add("state", std::string(phaseName(m_phase)));
     status.addNumber("revision", static_cast<double>(state.position.revision()));
+    status.addNumber("era", static_cast<double>(state.position.era()));
     JsonValue &store = status.add("store", JsonValue::makeObject());
     store.add("kind", m_platform.embedded == nullptr ? "http" : "embedded");
     store.addFlag("reachable", state.isStoreReachable);
@@ -160,6 +169,12 @@
         refused.addNumber("offered", static_cast<double>(state.refused->offered.revision()));
         refused.add("object", state.refused->object);
     }
+    if (!state.kept.empty()) {
+        JsonValue &kept = status.add("kept", JsonValue::makeList());
+        for (const std::string &it : state.kept) {
+            kept.append(JsonValue{.type = JsonValue::Type::Text, .text = it});
+        }
+    }
     JsonValue &skipped = status.add("skipped", JsonValue::makeList());
     for (const ObjectSkipped &it : state.skipped) {
         JsonValue &row = skipped.append(JsonValue::makeObject());
--- a/packages/store/include/pollenspoke/store.h
+++ b/packages/store/include/pollenspoke/store.h
@@ -25,6 +25,7 @@
 #include <pollenspoke/resources.h>
 #include <pollenspoke/web.h>
 #include <random>
+#include <set>
 #include <thread>
 
 namespace Pollenspoke {
@@ -363,6 +364,14 @@
     std::string object;    // "Key/a": this object has an older version; empty: the whole store is older
     bool operator==(const RevisionRefused &) const = default;
 };
+struct StoreRestored // the store was restored from an older copy
+{
+    StorePosition previous; // last position in the era before
+    StorePosition current;
+    std::size_t kept = 0;  // objects whose newer state stays in force until the store has a later write of them
+    std::size_t taken = 0; // objects whose state in the store came into force
+    bool operator==(const StoreRestored &) const = default;
+};
 struct StoreUnreachable
 {
     Error error;
@@ -370,7 +379,7 @@
 struct StoreReconnected
 {
 };
-using FollowerNotice = std::variant<SnapshotReady, ObjectSkipped, RevisionRefused, StoreUnreachable, StoreReconnected>;
+using FollowerNotice = std::variant<SnapshotReady, ObjectSkipped, RevisionRefused, StoreRestored, StoreUnreachable, StoreReconnected>;
 
 // Next action of a follower.
 struct ListNow
@@ -392,11 +401,13 @@
     bool isStoreReachable = false;          // the last call to the store got a response
     std::optional<TimePoint> lastContactAt; // start of the last answered call to the store, by this Vm or a peer
     std::vector<ObjectSkipped> skipped;     // stored objects whose current version isn't in force
+    std::set<std::string> kept;             // "Key/a": its state is from before a restore, and newer than that in the store
     std::optional<RevisionRefused> refused; // the refused revision, while the store's contents are refused
 };
 
-/// State machine that decides which configuration is in force. The store's revision and each object's version only increase;
-/// delayed, duplicate and reordered changes are tolerated. Does no I/O and uses no thread or clock.
+/// State machine that decides which configuration is in force. Within an era the store's revision and each object's version only
+/// increase. If the store was restored from an older copy, an object whose state is newer than in the copy keeps it until the store has a
+/// write of it in the new era. Delayed, duplicate and reordered answers are tolerated. Does no I/O and uses no thread or clock.
 class FollowerCore
 {
 public:
@@ -417,26 +428,38 @@
     using Notices = std::vector<FollowerNotice>;
     struct Entry
     {
-        std::uint64_t version = 0;
+        StorePosition writtenAt;
         std::optional<Object> object; // unset: it can't be decoded
         Error error;                  // why it can't be decoded
     };
+    struct Resolution
+    {
+        std::vector<Object> objects;
+        std::map<ObjectId, StorePosition> writtenAt;
+        std::vector<ObjectSkipped> skipped;
+    };
 
     void recordFailure(const Error &error, TimePoint now, Notices &notices);
     void recordResponse(TimePoint requestedAt, Notices &notices);
+    static std::map<ObjectId, Entry> entriesOf(const ObjectList &list);
+    StorePosition lastKnown(const ObjectId &id) const;
     std::optional<RevisionRefused> findRollback(const ObjectList &list) const;
-    void replaceAll(const ObjectList &list);
+    void beginFirstEra(std::uint64_t era);
+    void merge(const ObjectList &list, Notices &notices);
+    void bury(const ObjectId &id, const StorePosition &position);
     bool applyChange(const ObjectId &id, ChangeType type, Entry entry);
     void rebuild(Notices &notices);
-    std::vector<Object> resolve(std::vector<ObjectSkipped> &skipped) const;
+    Resolution resolve() const;
 
     FollowerOptions m_options;
     std::mt19937_64 m_generator;
     FollowerState m_state;
-    std::map<ObjectId, Entry> m_stored;             // as last seen in the store
-    std::map<ObjectId, std::uint64_t> m_tombstones; // version of each deletion since the last list
+    std::map<ObjectId, Entry> m_stored;             // as last seen in the store, or kept since the store lost it
+    std::map<ObjectId, StorePosition> m_tombstones; // of deletions; of one that only a list showed, the position of the list
     std::map<ObjectId, Object> m_inForce;           // contents of the last Snapshot
-    std::uint64_t m_listRevision = 0;               // of the last list, which contains all changes up to it
+    std::map<ObjectId, StorePosition> m_inForceAt;  // at which they were written
+    StorePosition m_listPosition;                   // of the last list, which contains all changes up to it
+    std::uint64_t m_snapshotCount = 0;              // numbers snapshots, because a restored store's revisions go back
     bool m_hasSnapshot = false;
     bool m_isListRequired = true;
     TimePoint m_nextListAt{};
--- a/packages/store/src/follower_core.cpp
+++ b/packages/store/src/follower_core.cpp
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr unsigned maxDoublings = 10;
+constexpr std::size_t maxTombstones = 10000; // bounds the memory for deletions that a restored store may have lost
 
 std::string formatObjectId(Kind kind, const std::string &name)
 {
@@ -26,6 +27,17 @@
     return std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::nano>(static_cast<double>(duration.count()) * factor));
 }
 
+// Latest position at which an object that was written at `writtenAt`, and isn't in the list, can have been deleted. A list names the
+// deletions since the first restore, so that any other is from before it.
+StorePosition latestDeletion(const ObjectList &list, const StorePosition &writtenAt)
+{
+    const std::vector<StoreEras::Era> &eras = list.eras.list();
+    if (eras.size() > 1 && writtenAt.era() == eras.front().era) {
+        return {eras.front().era, eras[1].start};
+    }
+    return list.position;
+}
+
 } // namespace
 
 const std::vector<Kind> &declaredKinds()
@@ -72,38 +84,117 @@
     m_state.lastContactAt = std::max(m_state.lastContactAt.value_or(requestedAt), requestedAt);
 }
 
-// Versions only increase, so an object with an older version than before proves that the store lost writes.
+std::map<FollowerCore::ObjectId, FollowerCore::Entry> FollowerCore::entriesOf(const ObjectList &list)
+{
+    std::map<ObjectId, Entry> entries;
+    for (const Object &it : list.items) {
+        if (isDeclaredKind(it.kind())) {
+            entries[{it.kind(), it.name}] = Entry{.writtenAt = list.eras.positionOf(it.version), .object = it};
+        }
+    }
+    for (const UndecodableObject &it : list.undecodable) {
+        if (isDeclaredKind(it.kind)) {
+            entries[{it.kind, it.name}] = Entry{.writtenAt = list.eras.positionOf(it.version), .error = it.error};
+        }
+    }
+    return entries;
+}
+
+// Position of the last write or deletion of the object.
+StorePosition FollowerCore::lastKnown(const ObjectId &id) const
+{
+    const auto stored = m_stored.find(id);
+    const auto tombstone = m_tombstones.find(id);
+    return std::max(stored == m_stored.end() ? StorePosition() : stored->second.writtenAt,
+                    tombstone == m_tombstones.end() ? StorePosition() : tombstone->second);
+}
+
+// An object with an older state than one that is part of the store's history proves that the store lost writes without a new era.
 std::optional<RevisionRefused> FollowerCore::findRollback(const ObjectList &list) const
 {
     RevisionRefused refused{.offered = list.position, .inForce = m_state.position};
-    if (list.position.revision() < m_state.position.revision()) {
+    if (list.position < m_state.position) {
         return refused;
     }
-    for (const Object &it : list.items) {
-        const auto current = m_stored.find({it.kind(), it.name});
-        if (current != m_stored.end() && it.version < current->second.version) {
-            refused.object = formatObjectId(it.kind(), it.name);
+    for (const auto &[id, entry] : entriesOf(list)) {
+        const StorePosition known = lastKnown(id);
+        if (entry.writtenAt < known && list.eras.contains(known)) {
+            refused.object = formatObjectId(id.first, id.second);
             return refused;
         }
     }
     return std::nullopt;
 }
 
-void FollowerCore::replaceAll(const ObjectList &list)
+// A store that begins to tell its era, after an upgrade, wasn't restored: what is known of it belongs to its first era.
+void FollowerCore::beginFirstEra(std::uint64_t era)
 {
-    m_stored.clear();
-    m_tombstones.clear();
-    for (const Object &it : list.items) {
-        if (isDeclaredKind(it.kind())) {
-            m_stored[{it.kind(), it.name}] = Entry{.version = it.version, .object = it};
+    const auto renumber = [era](StorePosition &position) { position = {era, position.revision()}; };
+    for (auto &[id, entry] : m_stored) {
+        renumber(entry.writtenAt);
+    }
+    for (auto &[id, position] : m_tombstones) {
+        renumber(position);
+    }
+    for (auto &[id, position] : m_inForceAt) {
+        renumber(position);
+    }
+    renumber(m_listPosition);
+    renumber(m_state.position);
+}
+
+void FollowerCore::bury(const ObjectId &id, const StorePosition &position)
+{
+    m_stored.erase(id);
+    m_tombstones[id] = position;
+    m_state.kept.erase(formatObjectId(id.first, id.second));
+    if (m_tombstones.size() > maxTombstones) {
+        m_tombstones.erase(
+            std::min_element(m_tombstones.begin(), m_tombstones.end(), [](const auto &a, const auto &b) { return a.second < b.second; }));
+    }
+}
+
+// Takes each state in the list that is newer than the known one, and keeps the others.
+void FollowerCore::merge(const ObjectList &list, Notices &notices)
+{
+    StoreRestored restored{.previous = m_state.position, .current = list.position};
+    std::map<ObjectId, Entry> listed = entriesOf(list);
+    m_state.kept.clear();
+    for (const RemovedObject &it : list.removed) {
+        const ObjectId id{it.kind, it.name};
+        const StorePosition position = list.eras.positionOf(it.version);
+        if (m_stored.contains(id) && position > lastKnown(id)) {
+            bury(id, position);
+            ++restored.taken;
         }
     }
-    for (const UndecodableObject &it : list.undecodable) {
-        if (isDeclaredKind(it.kind)) {
-            m_stored[{it.kind, it.name}] = Entry{.version = it.version, .error = it.error};
+    const std::map<ObjectId, Entry> known = m_stored;
+    for (const auto &[id, entry] : known) {
+        if (listed.contains(id)) {
+            continue;
+        }
+        if (list.eras.contains(entry.writtenAt)) {
+            bury(id, latestDeletion(list, entry.writtenAt));
+            ++restored.taken;
+        } else {
+            m_state.kept.insert(formatObjectId(id.first, id.second));
         }
     }
-    m_listRevision = list.position.revision();
+    for (auto &[id, entry] : listed) {
+        const StorePosition last = lastKnown(id);
+        if (entry.writtenAt < last) {
+            m_state.kept.insert(formatObjectId(id.first, id.second));
+            continue;
+        }
+        restored.taken += entry.writtenAt > last ? 1 : 0;
+        m_tombstones.erase(id);
+        m_stored[id] = std::move(entry);
+    }
+    restored.kept = m_state.kept.size();
+    if (m_hasSnapshot && !list.position.isInSameEra(m_state.position)) {
+        notices.emplace_back(restored);
+    }
+    m_listPosition = list.position;
     m_state.position = list.position;
     m_isListRequired = false;
 }
@@ -117,6 +208,9 @@
     }
     recordResponse(requestedAt, notices);
     m_nextListAt = now + randomize(m_options.relistPeriod, 0.75, 1.25, m_generator);
+    if (m_hasSnapshot && m_state.position.era() == 0 && list->position.era() != 0) {
+        beginFirstEra(list->eras.list().front().era);
+    }
     if (const auto refused = m_hasSnapshot ? findRollback(*list) : std::nullopt) {
         if (m_state.refused != refused) {
             notices.emplace_back(*refused);
@@ -127,7 +221,7 @@
         return notices;
     }
     m_state.refused.reset();
-    replaceAll(*list);
+    merge(*list, notices);
     rebuild(notices);
     return notices;
 }
@@ -138,7 +232,7 @@
     if (m_hasSnapshot && findRollback(list)) {
         return notices;
     }
-    replaceAll(list);
+    merge(list, notices);
     m_state.lastContactAt = std::max(m_state.lastContactAt.value_or(contactAt), contactAt);
     rebuild(notices);
     return notices;
@@ -147,18 +241,14 @@
 // Applies the change and returns true if it is newer than the last known state of that object.
 bool FollowerCore::applyChange(const ObjectId &id, ChangeType type, Entry entry)
 {
-    const auto current = m_stored.find(id);
-    const auto tombstone = m_tombstones.find(id);
-    const std::uint64_t currentVersion = current == m_stored.end() ? 0 : current->second.version;
-    const std::uint64_t tombstoneVersion = tombstone == m_tombstones.end() ? 0 : tombstone->second;
-    if (!isDeclaredKind(id.first) || entry.version <= std::max({m_listRevision, currentVersion, tombstoneVersion})) {
+    if (!isDeclaredKind(id.first) || entry.writtenAt <= std::max(m_listPosition, lastKnown(id))) {
         return false;
     }
     if (type == ChangeType::Delete) {
-        m_tombstones[id] = entry.version;
-        m_stored.erase(id);
+        bury(id, entry.writtenAt);
     } else {
         m_stored[id] = std::move(entry);
+        m_state.kept.erase(formatObjectId(id.first, id.second));
     }
     return true;
 }
@@ -176,13 +266,18 @@
         return notices;
     }
     recordResponse(requestedAt, notices);
+    const std::uint64_t era = changes->position.era();
+    if (!changes->position.isInSameEra(m_state.position)) {
+        m_isListRequired = m_isListRequired || changes->position > m_state.position;
+        return notices;
+    }
     bool isChanged = false;
     for (const Change &it : changes->events) {
         const ObjectId id{it.object.kind(), it.object.name};
-        isChanged = applyChange(id, it.type, Entry{.version = it.object.version, .object = it.object}) || isChanged;
+        isChanged = applyChange(id, it.type, Entry{.writtenAt = {era, it.object.version}, .object = it.object}) || isChanged;
     }
     for (const UndecodableObject &it : changes->undecodable) {
-        isChanged = applyChange({it.kind, it.name}, ChangeType::Put, Entry{.version = it.version, .error = it.error}) || isChanged;
+        isChanged = applyChange({it.kind, it.name}, ChangeType::Put, Entry{.writtenAt = {era, it.version}, .error = it.error}) || isChanged;
     }
     m_state.position = std::max(m_state.position, changes->position);
     if (isChanged) {
@@ -193,10 +288,12 @@
 
 // Returns a consistent subset of the stored objects. An invalid object is replaced by its version in force, or left out if that
 // is inconsistent too. Of two objects that claim the same secret or match, the one in force wins, else the one written first.
-std::vector<Object> FollowerCore::resolve(std::vector<ObjectSkipped> &skipped) const
+FollowerCore::Resolution FollowerCore::resolve() const
 {
+    Resolution resolution;
+    std::vector<Object> &objects = resolution.objects;
+    std::map<ObjectId, StorePosition> &writtenAt = resolution.writtenAt;
     std::map<ObjectId, ObjectSkipped> rejected;
-    std::vector<Object> objects;
     const auto fallBack = [&](const ObjectId &id, const Error &error) {
         const auto previous = m_inForce.find(id);
         const bool isPreviousInForce = previous != m_inForce.end() && !rejected.contains(id);
@@ -204,18 +301,20 @@
         entry.isPreviousInForce = isPreviousInForce;
         if (isPreviousInForce) {
             objects.push_back(previous->second);
+            writtenAt[id] = m_inForceAt.at(id);
         }
     };
     // An update to an object in force takes precedence over a conflicting new object. Otherwise a new key with the same secret
     // could block the withdrawal of a key.
-    const auto isEarlier = [this](const Object &a, const Object &b) {
-        const bool isNotInForceA = !m_inForce.contains({a.kind(), a.name});
-        const bool isNotInForceB = !m_inForce.contains({b.kind(), b.name});
-        return std::pair(isNotInForceA, a.version) < std::pair(isNotInForceB, b.version);
+    const auto isEarlier = [&](const Object &a, const Object &b) {
+        const ObjectId idA{a.kind(), a.name};
+        const ObjectId idB{b.kind(), b.name};
+        return std::pair(!m_inForce.contains(idA), writtenAt.at(idA)) < std::pair(!m_inForce.contains(idB), writtenAt.at(idB));
     };
     for (const auto &[id, entry] : m_stored) {
         if (entry.object) {
             objects.push_back(*entry.object);
+            writtenAt[id] = entry.writtenAt;
         } else {
             fallBack(id, entry.error);
         }
@@ -232,29 +331,29 @@
         }
     }
     for (auto &[id, entry] : rejected) {
-        skipped.push_back(std::move(entry));
+        resolution.skipped.push_back(std::move(entry));
     }
-    return objects;
+    return resolution;
 }
 
 void FollowerCore::rebuild(Notices &notices)
 {
-    std::vector<ObjectSkipped> skipped;
-    const std::vector<Object> objects = resolve(skipped);
-    for (const ObjectSkipped &it : skipped) {
+    Resolution resolution = resolve();
+    for (const ObjectSkipped &it : resolution.skipped) {
         if (std::find(m_state.skipped.begin(), m_state.skipped.end(), it) == m_state.skipped.end()) {
             notices.emplace_back(it);
         }
     }
-    m_state.skipped = std::move(skipped);
+    m_state.skipped = std::move(resolution.skipped);
     std::map<ObjectId, Object> byId;
-    for (const Object &it : objects) {
+    for (const Object &it : resolution.objects) {
         byId[{it.kind(), it.name}] = it;
     }
+    m_inForceAt = std::move(resolution.writtenAt);
     if (m_hasSnapshot && byId == m_inForce) {
         return;
     }
-    Result<std::shared_ptr<const Snapshot>> snapshot = Snapshot::build(objects, m_state.position.revision());
+    Result<std::shared_ptr<const Snapshot>> snapshot = Snapshot::build(resolution.objects, ++m_snapshotCount);
     POLLENSPOKE_ASSERT(snapshot.has_value(), "Snapshot::build() must accept every set of objects in which findProblems() finds none");
     m_inForce = std::move(byId);
     m_hasSnapshot = true;
--- a/packages/telemetry/include/pollenspoke/telemetry.h
+++ b/packages/telemetry/include/pollenspoke/telemetry.h
@@ -47,8 +47,8 @@
     CallerConnections, // open connections from callers
     RequestsInFlight,  // requests whose header has arrived and whose response isn't complete
     PooledConnections, // idle connections to targets
-    SnapshotRevision,  // store revision of the configuration in force
-    FollowedRevision,  // store revision up to which all declared changes are in force
+    SnapshotRevision,  // number of the configuration in force; counts up on this Vm
+    FollowedRevision,  // store revision up to which all declared changes are in force; goes back if the store is restored
     StoreReachable,    // 1: the object store responded to the last call; 0: it didn't
     StoreAgeMs,        // ms since the start of the last call that the object store responded to; -1: none yet
     StoreEra,          // of the object store: rises when it was restored from an older copy; 0: unknown
