Session: a wait for a token that is never decided is released

The cancellation slot kept the handler that owns it, so that a session whose admission was dropped undecided was never freed. Found by review; not shown by a run.

--- a/packages/proxy/src/session.cpp
+++ b/packages/proxy/src/session.cpp
@@ -55,21 +55,25 @@
         auto slot = net::get_associated_cancellation_slot(handler);
         const auto executor = net::get_associated_executor(handler);
         const auto pending = std::make_shared<std::optional<Handler>>(std::move(handler));
-        const auto complete = [pending, executor, slot](const Admission &decision) {
-            net::post(executor, [pending, slot, decision]() mutable {
-                if (!pending->has_value()) {
+        const auto complete = [executor, slot](const std::shared_ptr<std::optional<Handler>> &waiting, const Admission &decision) {
+            net::post(executor, [waiting, slot, decision]() mutable {
+                if (!waiting->has_value()) {
                     return;
                 }
                 slot.clear();
-                Handler called = std::move(**pending);
-                pending->reset();
+                Handler called = std::move(**waiting);
+                waiting->reset();
                 std::move(called)(decision);
             });
         };
         if (slot.is_connected()) {
-            slot.assign([complete](net::cancellation_type_t) { complete(RateExceeded{}); });
+            slot.assign([complete, weak = std::weak_ptr(pending)](net::cancellation_type_t) {
+                if (const auto waiting = weak.lock()) { // weak, since the handler owns the slot
+                    complete(waiting, RateExceeded{});
+                }
+            });
         }
-        admission.admit(account, limits, now, complete);
+        admission.admit(account, limits, now, [complete, pending](const Admission &decision) { complete(pending, decision); });
     }
 };
 
