CheckedStore: a lost answer followed by a restore isn't taken as success

What callers saw: an operator's write whose answer was lost was reported as done if the store had been restored meanwhile to a copy with the same spec. The write was lost, and followers keep the newer state that they have. A removal was reported as done if the copy was from before the object was created.

Cause: reading back compared specs and bare versions, without asking when the object was written.

An object read back counts only if it was written in the store's present era, and a condition's version only in its own era. A version without an era gets that in which the write was checked. A removal is confirmed by absence only within one era.

Evidence: store.http_store lost_write_is_not_taken_for_done_because_the_restored_copy_equals_it failed before. lost_write_is_not_repeated_over_a_write_made_after_a_restore passed before as well, since the store refuses conditions of another era. The case of the removal has no test of its own.

--- a/packages/store/include/pollenspoke/store.h
+++ b/packages/store/include/pollenspoke/store.h
@@ -140,7 +140,8 @@
 };
 
 /// Writes an object. If the response is lost, reads the object back and compares it before retrying. Succeeds only if the store
-/// confirmed the write or the object read back has the same spec. OutcomeUnknown: neither; the object may have been written.
+/// confirmed the write, or the object read back has the same spec and was written in the store's present era. OutcomeUnknown: neither; the
+/// object may have been written.
 Result<Object> putVerified(ObjectStore &store, const Object &object, const WriteCondition &condition, unsigned maxWrites = 3);
 
 //-----------------------------------------------------------------------------
@@ -325,7 +326,7 @@
     Result<Changes> watch(const StorePosition &since, const std::vector<Kind> &kinds, Duration wait) override;
 
 private:
-    Result<void> checkChange(Kind kind, const std::string &name, const Object *replacement);
+    Result<StoreEras> checkChange(Kind kind, const std::string &name, const Object *replacement);
 
     ObjectStore &m_store;
 };
--- a/packages/store/src/checked_store.cpp
+++ b/packages/store/src/checked_store.cpp
@@ -23,17 +23,23 @@
                  .detail = "written by the system only; operators have read access"};
 }
 
+bool isCurrent(const StoredObject &stored, const MustHaveVersion &condition)
+{
+    return stored.object.version == condition.version && (condition.era == 0 || stored.era == condition.era);
+}
+
 // Reads the object back after the response to a write was lost. Returns the object if it has the wanted spec, nothing if the
 // condition of the write still holds, and OutcomeUnknown otherwise.
 Result<std::optional<Object>> readBack(ObjectStore &store, const Object &wanted, const WriteCondition &condition)
 {
     const Result<StoredObject> stored = store.get(wanted.kind(), wanted.name);
-    if (stored && stored->object.spec == wanted.spec) {
+    // An object that is in the store only as part of the copy that it was restored from isn't the effect of this write.
+    if (stored && stored->object.spec == wanted.spec && !stored->isFromCopy()) {
         return stored->object;
     }
     const auto *version = std::get_if<MustHaveVersion>(&condition);
     const bool isAbsent = !stored && stored.error().code == ErrorCode::NotFound;
-    const bool isUnchanged = version == nullptr ? isAbsent : stored && stored->object.version == version->version;
+    const bool isUnchanged = version == nullptr ? isAbsent : stored && isCurrent(*stored, *version);
     if (isUnchanged) {
         return std::optional<Object>();
     }
@@ -123,7 +129,7 @@
 
 } // namespace
 
-Result<void> CheckedStore::checkChange(Kind kind, const std::string &name, const Object *replacement)
+Result<StoreEras> CheckedStore::checkChange(Kind kind, const std::string &name, const Object *replacement)
 {
     const Result<ObjectList> list = m_store.list(declaredKinds());
     if (!list) {
@@ -134,7 +140,7 @@
     std::erase_if(resulting, [&](const Object &it) { return it.kind() == kind && it.name == name; });
     if (replacement != nullptr) {
         if (Result<void> checked = refuseReactivation(list->items, *replacement); !checked) {
-            return checked;
+            return tl::unexpected(checked.error());
         }
         resulting.push_back(*replacement);
     }
@@ -145,18 +151,33 @@
             return tl::unexpected(it.error);
         }
     }
-    return {};
+    return list->eras;
 }
 
+namespace {
+
+// A version without an era belongs to the era in which the write was checked.
+WriteCondition inEra(const WriteCondition &condition, const StoreEras &eras)
+{
+    const auto *required = std::get_if<MustHaveVersion>(&condition);
+    if (required == nullptr || required->era != 0) {
+        return condition;
+    }
+    return MustHaveVersion{.version = required->version, .era = eras.era()};
+}
+
+} // namespace
+
 Result<Object> CheckedStore::put(const Object &object, const WriteCondition &condition)
 {
     if (isSystemKind(object.kind())) {
         return tl::unexpected(systemKindError(object.kind(), object.name));
     }
-    if (const Result<void> checked = checkChange(object.kind(), object.name, &object); !checked) {
+    const Result<StoreEras> checked = checkChange(object.kind(), object.name, &object);
+    if (!checked) {
         return tl::unexpected(checked.error());
     }
-    return putVerified(m_store, object, condition);
+    return putVerified(m_store, object, inEra(condition, *checked));
 }
 
 Result<void> CheckedStore::remove(Kind kind, const std::string &name, const MustHaveVersion &condition)
@@ -164,15 +185,21 @@
     if (isSystemKind(kind)) {
         return tl::unexpected(systemKindError(kind, name));
     }
-    if (Result<void> checked = checkChange(kind, name, nullptr); !checked) {
-        return checked;
+    const Result<StoreEras> checked = checkChange(kind, name, nullptr);
+    if (!checked) {
+        return tl::unexpected(checked.error());
     }
-    Result<void> removed = m_store.remove(kind, name, condition);
-    if (!removed && removed.error().code == ErrorCode::OutcomeUnknown) {
-        const Result<StoredObject> stored = m_store.get(kind, name);
-        if (!stored && stored.error().code == ErrorCode::NotFound) {
-            return {};
-        }
+    const std::uint64_t era = condition.era == 0 ? checked->era() : condition.era;
+    Result<void> removed = m_store.remove(kind, name, {.version = condition.version, .era = era});
+    if (removed || removed.error().code != ErrorCode::OutcomeUnknown) {
+        return removed;
+    }
+    // Absence from a restored store shows nothing: its copy may be from before the object was created.
+    const Result<ObjectList> list = m_store.list({kind});
+    const auto isNamed = [&](const auto &it) { return it.name == name; };
+    if (list && list->position.era() == checked->era() && std::none_of(list->items.begin(), list->items.end(), isNamed)
+        && std::none_of(list->undecodable.begin(), list->undecodable.end(), isNamed)) {
+        return {};
     }
     return removed;
 }
--- a/packages/store/tests/test_http_store.cpp
+++ b/packages/store/tests/test_http_store.cpp
@@ -7,6 +7,12 @@
 
 namespace {
 
+Object withVersion(std::uint64_t version, Object object)
+{
+    object.version = version;
+    return object;
+}
+
 struct Fixture
 {
     MemoryStore memory;
@@ -368,6 +374,82 @@
     BOOST_TEST((memory.get(Kind::ClientAccount, "a")->object.spec == makeAccount("a", 77).spec));
 }
 
+namespace {
+
+// Restores the store after it has executed a write whose response is lost, and then lets another client write.
+class RestoringStore final : public ObjectStore
+{
+public:
+    RestoringStore(MemoryStore &store, StoreBackup backup, std::optional<Object> written)
+        : m_store(store)
+        , m_backup(std::move(backup))
+        , m_written(std::move(written))
+    {
+    }
+    Result<StoredObject> get(Kind kind, const std::string &name) override { return m_store.get(kind, name); }
+    Result<Object> put(const Object &object, const WriteCondition &condition) override
+    {
+        Result<Object> result = m_store.put(object, condition);
+        if (m_isRestored) {
+            return result;
+        }
+        m_isRestored = true;
+        m_store.restore(m_backup);
+        if (m_written) {
+            BOOST_REQUIRE(m_store.put(*m_written, MustHaveVersion{m_written->version}));
+        }
+        return tl::unexpected(Error{.code = ErrorCode::OutcomeUnknown});
+    }
+    Result<ObjectList> list(const std::vector<Kind> &kinds) override { return m_store.list(kinds); }
+    Result<Object> putStatus(Kind kind, const std::string &name, const std::string &status) override
+    {
+        return m_store.putStatus(kind, name, status);
+    }
+    Result<void> remove(Kind kind, const std::string &name, const MustHaveVersion &condition) override
+    {
+        return m_store.remove(kind, name, condition);
+    }
+    Result<Changes> watch(const StorePosition &since, const std::vector<Kind> &kinds, Duration wait) override
+    {
+        return m_store.watch(since, kinds, wait);
+    }
+
+private:
+    MemoryStore &m_store;
+    StoreBackup m_backup;
+    std::optional<Object> m_written;
+    bool m_isRestored = false;
+};
+
+} // namespace
+
+// Guards against a write that is reported as done because the older copy, which followers don't take, happens to have the same spec.
+BOOST_AUTO_TEST_CASE(lost_write_is_not_taken_for_done_because_the_restored_copy_equals_it)
+{
+    MemoryStore memory;
+    BOOST_REQUIRE(memory.put(makeAccount("a", 1), MustNotExist{}));
+    const StoreBackup backup = memory.backup();
+    BOOST_REQUIRE(memory.put(makeAccount("a", 2), MustHaveVersion{1}));
+    RestoringStore store(memory, backup, std::nullopt);
+    const auto written = putVerified(store, makeAccount("a", 1), MustHaveVersion{.version = 2, .era = 1});
+    BOOST_REQUIRE(!written);
+    BOOST_TEST((written.error().code == ErrorCode::OutcomeUnknown));
+}
+
+// Guards against a retry after a restore that overwrites what another client wrote under a version given out again.
+BOOST_AUTO_TEST_CASE(lost_write_is_not_repeated_over_a_write_made_after_a_restore)
+{
+    MemoryStore memory;
+    BOOST_REQUIRE(memory.put(makeAccount("a", 1), MustNotExist{}));
+    const StoreBackup backup = memory.backup();
+    BOOST_REQUIRE(memory.put(makeAccount("a", 2), MustHaveVersion{1}));
+    RestoringStore store(memory, backup, withVersion(1, makeAccount("a", 7)));
+    const auto written = putVerified(store, makeAccount("a", 3), MustHaveVersion{.version = 2, .era = 1});
+    BOOST_REQUIRE(!written);
+    BOOST_TEST((written.error().code == ErrorCode::OutcomeUnknown));
+    BOOST_TEST((memory.get(Kind::ClientAccount, "a")->object.spec == makeAccount("a", 7).spec));
+}
+
 BOOST_AUTO_TEST_CASE(delayed_own_write_is_not_mistaken_for_that_of_another_client)
 {
     MemoryStore memory;
