--- a/packages/fleet/src/configuration.cpp
+++ b/packages/fleet/src/configuration.cpp
@@ -50,8 +50,10 @@
         return;
     }
     m_declarationsRevision = document.revision;
-    if (!m_declarations || m_declarations->version != declarations->version) {
+    if (!m_declarationsDocument || m_declarationsDocument->spec != document.spec) {
         m_declarationsChanged = true;
+    }
+    if (!m_declarations || m_declarations->version != declarations->version) {
         m_isStoreBehind = false;
         m_lastOutdatedVersion = 0;
     }
--- a/packages/fleet/tests/test_configuration.cpp
+++ b/packages/fleet/tests/test_configuration.cpp
@@ -125,6 +125,20 @@
     BOOST_TEST((configuration.declarationsDocument()->spec == makeDeclarations(9).spec));
 }
 
+// Guards against content that comes into force only with the next change of a target, at different times on each Vm.
+BOOST_FIXTURE_TEST_CASE(other_content_of_the_same_version_is_taken_at_once, Fixture)
+{
+    configuration.replaceTargets({.position = {1, 1}, .items = {makeTarget("a", 5)}}, start);
+    configuration.applyDeclarations(makeDeclarations(7));
+    BOOST_TEST((configuration.buildSnapshotIfChanged(start) != nullptr));
+    configuration.applyDeclarations(makeDeclarations(7));
+    BOOST_TEST((configuration.buildSnapshotIfChanged(start) == nullptr));
+    StoredDocument other = makeDeclarations(7);
+    other.spec.add("comment", "written again");
+    configuration.applyDeclarations(other);
+    BOOST_TEST((configuration.buildSnapshotIfChanged(start) != nullptr));
+}
+
 // Guards against an alarm for each list of a restored store, and for the same version written again.
 BOOST_FIXTURE_TEST_CASE(an_older_version_of_a_restored_store_is_reported_once, Fixture)
 {
