Feed: an answer is added only to the log that it continues

While a request was out, this VM's own list could move the log to a later position; the answer, which continues the earlier one, was added all the same, and a deletion between the two was missed. And a VM that had asked for newer declarations and got none never asked anybody for that version again.

--- a/packages/fleet/src/feed.cpp
+++ b/packages/fleet/src/feed.cpp
@@ -363,7 +363,9 @@
     }
     const std::optional<FeedReply> reply = co_await requestChanges(*source, false);
     if (reply) {
-        m_lastRequestedVersion = std::max(m_lastRequestedVersion, sourceVersion); // not again if it was refused
+        if (reply->declarations) {
+            m_lastRequestedVersion = std::max(m_lastRequestedVersion, sourceVersion); // not again if it was refused
+        }
         applyHeldContent(*reply);
     }
 }
@@ -417,6 +419,13 @@
     co_await entry->second.timer.async_wait(asTuple);
     std::optional<FeedReply> reply = std::move(entry->second.reply);
     m_pendingRequests.erase(entry);
+    if (reply) {
+        // The changes continue the log as it was; a list of this Vm may have moved it meanwhile.
+        std::erase_if(reply->changes, [this, &request](const auto &it) {
+            const auto sent = request.cursors.find(it.first);
+            return sent == request.cursors.end() || sent->second != m_logs[it.first].cursor();
+        });
+    }
     co_return reply;
 }
 
