Fleet: a restore during a registration, a restore seen by two kinds, shares of a VM that starts after one

A registration that a second restore lost while its write was under way wasn't written again, since the answer to the first cleared the demand. The grace of missing targets began anew when the second kind of documents noticed the same restore. A VM that starts when the store lacks most VMs took the whole retry budget and all connections; for the time in which the others register again it takes no more than one of eight.

--- a/packages/fleet/src/fleet_vm.cpp
+++ b/packages/fleet/src/fleet_vm.cpp
@@ -105,6 +105,7 @@
     void applyRegistrationChange(const DocumentChange &change);
     VmRegistration ownRegistration() const;
     void publishMembers();
+    void publishShares();
     void registerIfNeeded();
     net::awaitable<void> registerSelf();
     void publishConfiguration();
@@ -142,6 +143,9 @@
     bool mustRegister = false;                             // the store lacks this Vm's registration or has another one
     bool isRegistering = false;
     bool isStoreUnavailable = false;
+    std::uint64_t registrationDemands = 0; // counts the times that the store was found to lack this Vm's registration
+    std::uint64_t notedEra = 0;            // of the store, in the configuration
+    TimePoint startedAt;
     TimePoint lastPeerReportAt;
     std::optional<TimePoint> storeReachableSince; // empty: unreachable, or not reached yet
     TimePoint lastOutageStart;
@@ -242,7 +246,8 @@
     if (kind == format.vmsKind()) {
         members.noteStoreRestored(clock.now());
         admission.noteStoreRestored(clock.now());
-    } else {
+    } else if (change.current.era() > notedEra) { // once, whichever of the two kinds notices it first
+        notedEra = change.current.era();
         configuration.noteStoreRestored(clock.now());
     }
     feed.noteStoreRestored();
@@ -390,6 +395,7 @@
     }
     members.replaceAll(vms, clock.now());
     mustRegister = !ownDocument || decodeRegistration(ownDocument->spec) != ownRegistration();
+    registrationDemands += mustRegister ? 1 : 0;
 }
 
 void FleetVm::Impl::applyRegistrationChange(const DocumentChange &change)
@@ -403,6 +409,7 @@
         if (members.isSelf(name)) {
             ownDocument = change.isDeleted ? std::nullopt : std::optional(document);
             mustRegister = true;
+            ++registrationDemands;
         }
         return;
     }
@@ -437,8 +444,7 @@
 {
     const std::vector<VmName> holders = members.seatHolders();
     admission.setSeats(options.proxy.vm, holders);
-    proxy.setRetryShare(holdsSeat() ? 1.0 / static_cast<double>(holders.size()) : 0);
-    proxy.setVmCount(static_cast<std::uint32_t>(std::max<std::size_t>(holders.size(), 1)));
+    publishShares();
     logEvent(Event::SeatsAssigned,
              {{"vms", std::to_string(registrationRevisions.size())},
               {"holders", std::to_string(holders.size())},
@@ -446,6 +452,16 @@
     sendReport(members.reportReceivers(), std::nullopt); // announces a restarted Vm at once instead of after a full status period
 }
 
+// A restored store may lack most Vms, and one that has just started doesn't know of them: it takes no larger share than one of the
+// smallest number of seat holders.
+void FleetVm::Impl::publishShares()
+{
+    const bool isStarting = clock.now() - startedAt < Members::registrationGrace;
+    const std::size_t n = std::max<std::size_t>(members.seatHolders().size(), isStarting ? minSeats : 1);
+    proxy.setRetryShare(holdsSeat() ? 1.0 / static_cast<double>(n) : 0);
+    proxy.setVmCount(static_cast<std::uint32_t>(n));
+}
+
 // Vms whose registrations a restore lost notice it at the same time, so each waits for a random time that grows with their number.
 net::awaitable<void> FleetVm::Impl::registerSelf()
 {
@@ -457,6 +473,7 @@
         const std::string &name = options.proxy.vm.value;
         const StorePosition rank = joinedAt == StorePosition() ? StorePosition(feed.newestPosition().era(), 0) : joinedAt;
         const JsonValue spec = encodeRegistration(ownRegistration(), rank);
+        const std::uint64_t demand = registrationDemands;
         Result<StoredDocument> written; // no conditional expression: GCC 12 destroys its awaited temporaries twice
         if (ownDocument) {
             written = co_await feed.replace(format.vmsKind(), name, spec, ownDocument->revision);
@@ -467,6 +484,9 @@
             logEvent(Event::StoreEraChanged, {{"kind", format.vmsKind()}, {"written_again", name}, {"joined", toString(rank)}});
         }
         if (written || written.error().code == ErrorCode::VersionConflict) {
+            if (demand != registrationDemands) {
+                continue; // the store was restored during the write and lacks the registration again
+            }
             mustRegister = false;
             break; // on a conflict, an earlier write took effect without an answer, or another process has this name
         }
@@ -489,6 +509,7 @@
         if (members.removeExpired(now)) {
             publishMembers();
         }
+        publishShares();
         for (const VmName &it : members.seatHolders()) {
             lastPeerReportAt = members.isSelf(it) ? lastPeerReportAt : std::max(lastPeerReportAt, members.find(it)->lastReportAt);
         }
@@ -613,7 +634,8 @@
     if (!started) {
         return started;
     }
-    lastPeerReportAt = clock.now();
+    startedAt = clock.now();
+    lastPeerReportAt = startedAt;
     startFollowing();
     feed.startPolling();
     net::co_spawn(context, applyRosterExpiry(), net::detached);
