--- a/soak/target.cpp
+++ b/soak/target.cpp
@@ -53,11 +53,23 @@
 
 void SoakTarget::registerInStore(const std::string &registeredState)
 {
-    const State current = state();
+    State current;
+    {
+        const std::lock_guard lock(m_mutex);
+        m_state.registered = registeredState;
+        ++m_state.writeCount;
+        current = m_state;
+    }
     m_store.put("servers",
                 current.id,
                 R"({"service":")" + current.service + R"(","address":")" + toString(m_link.address())
-                    + R"(","zone":"fd-a","version":"v1","slots":6,"state":")" + registeredState + R"(","warmup-left-ms":0,"sequence":1})");
+                    + R"(","zone":"fd-a","version":"v1","slots":6,"state":")" + registeredState
+                    + R"(","warmup-left-ms":0,"born":1790000000000,"sequence":)" + std::to_string(current.writeCount) + "}");
+}
+
+void SoakTarget::registerAgain()
+{
+    registerInStore(state().registered);
 }
 
 void SoakTarget::setDraining()
--- a/soak/target.h
+++ b/soak/target.h
@@ -28,6 +28,8 @@
     void setMode(TargetMode mode);
     void replaceInstance(bool switchesService); // registers a new instance at the same address, optionally for the other service
     void setDraining();                         // registers as draining; requests are still executed
+    void registerAgain();                       // writes its registration once more
+    std::string id() const { return state().id; }
     FaultLink &link() { return m_link; }
 
 private:
@@ -35,6 +37,8 @@
     {
         std::string id;
         std::string service;
+        std::string registered = "ready";
+        std::uint64_t writeCount = 0; // of its registration
         TargetMode mode = TargetMode::Healthy;
     };
 
--- a/soak/world.cpp
+++ b/soak/world.cpp
@@ -1,5 +1,6 @@
 #include "world.h"
 
+#include <algorithm>
 #include <csignal>
 #include <iomanip>
 #include <sstream>
@@ -20,6 +21,8 @@
 constexpr auto recoveryTime = seconds(8);                              // after the last fault; the specified limit is 15 s
 constexpr auto measurementTime = seconds(3);                           // after recoveryTime, without faults
 constexpr double minSuccessRate = 0.95;                                // of requests sent within measurementTime
+constexpr auto registrationLifetime = milliseconds(4500);              // of a target that doesn't write any more
+constexpr std::uint64_t restoreSeedInterval = 2;                       // every second seed restores the store
 constexpr auto shutdownTime = milliseconds(3500);                      // leave_ms, draining and a margin
 constexpr std::uint64_t probeSeed = 900000000;                         // above the callers' seeds, so that request IDs stay unique
 constexpr auto maxFaultInterval = milliseconds(700);
@@ -79,6 +82,7 @@
     explicit SoakRun(const SoakOptions &options)
         : m_options(options)
         , m_generator(options.seed)
+        , m_restoreGenerator(options.seed)
     {
     }
 
@@ -97,6 +101,7 @@
     net::awaitable<void> suspend(SoakVm &vm);
     net::awaitable<void> applyLinkFault(FaultLink &link, LinkFault fault, milliseconds duration);
     net::awaitable<void> applyStoreFault(StoreFault fault, milliseconds duration);
+    net::awaitable<void> restoreStore();
     net::awaitable<void> applyTargetMode(SoakTarget &target, TargetMode mode, milliseconds duration);
     net::awaitable<void> replaceTarget(SoakTarget &target, bool drainsFirst, bool switchesService);
     void changeConfiguration();
@@ -112,6 +117,7 @@
 
     SoakOptions m_options;
     std::mt19937_64 m_generator;
+    std::mt19937_64 m_restoreGenerator; // of its own, so that the faults of earlier seeds stay the same
     SoakResult m_result;
     Ledger m_ledger;
     net::io_context m_context;
@@ -238,6 +244,36 @@
     m_store.setFault(StoreFault::None);
 }
 
+// The store is away for a moment and comes back from a copy some seconds old. The operator and the targets write again; the
+// registrations of targets that have left lapse.
+net::awaitable<void> SoakRun::restoreStore()
+{
+    co_await sleepFor(milliseconds(500 + static_cast<int>(m_restoreGenerator() % 2000)));
+    const FakeStore::Copy copy = m_store.takeCopy();
+    co_await sleepFor(milliseconds(1000 + static_cast<int>(m_restoreGenerator() % 3000)));
+    recordFault("store restored from a copy");
+    m_store.setFault(StoreFault::Reset);
+    co_await sleepFor(milliseconds(300 + static_cast<int>(m_restoreGenerator() % 1500)));
+    m_store.restore(copy);
+    m_store.setFault(StoreFault::None);
+    co_await sleepFor(milliseconds(static_cast<int>(m_restoreGenerator() % 1500)));
+    m_store.put("config", "main", m_configuration.toJson());
+    for (const std::unique_ptr<SoakTarget> &it : m_targets) {
+        it->registerAgain();
+    }
+    co_await sleepFor(registrationLifetime);
+    const auto servers = copy.objects.find("servers");
+    if (servers == copy.objects.end()) {
+        co_return;
+    }
+    for (const auto &[name, object] : servers->second) {
+        const bool isCurrent = std::any_of(m_targets.begin(), m_targets.end(), [&name = name](const auto &it) { return it->id() == name; });
+        if (!isCurrent && m_store.has("servers", name)) {
+            m_store.remove("servers", name);
+        }
+    }
+}
+
 net::awaitable<void> SoakRun::applyTargetMode(SoakTarget &target, TargetMode mode, milliseconds duration)
 {
     target.setMode(mode);
@@ -325,6 +361,9 @@
 net::awaitable<void> SoakRun::injectFaults()
 {
     const auto end = Ledger::Clock::now() + m_options.length;
+    if (!m_options.maintenanceOnly && m_options.seed % restoreSeedInterval == 0) {
+        spawn(restoreStore());
+    }
     while (Ledger::Clock::now() < end) {
         injectFault();
         co_await sleepFor(randomMs(20, static_cast<int>(maxFaultInterval.count())));
