Quota: a VM that starts bounds its share only if the store was ever restored

The bound is for lists that a restored store left incomplete; the era tells whether it was ever restored. The same holds for the shares of the retry budget and of connections.

--- a/packages/base/include/pollenspoke/base.h
+++ b/packages/base/include/pollenspoke/base.h
@@ -261,6 +261,8 @@
 class StorePosition
 {
 public:
+    static constexpr std::uint64_t firstEra = 1; // of a store that was never restored
+
     constexpr StorePosition() = default;
     constexpr StorePosition(std::uint64_t era, std::uint64_t revision)
         : m_era(era)
--- a/packages/fleet/src/fleet_vm.cpp
+++ b/packages/fleet/src/fleet_vm.cpp
@@ -145,7 +145,8 @@
     bool isStoreUnavailable = false;
     std::uint64_t registrationDemands = 0; // counts the times that the store was found to lack this Vm's registration
     std::uint64_t notedEra = 0;            // of the store, in the configuration
-    TimePoint startedAt;
+    bool hasRegistrationList = false;
+    TimePoint sharesBoundedUntil; // no larger than one of the smallest number of seat holders
     TimePoint lastPeerReportAt;
     std::optional<TimePoint> storeReachableSince; // empty: unreachable, or not reached yet
     TimePoint lastOutageStart;
@@ -383,6 +384,12 @@
 
 void FleetVm::Impl::applyRegistrationList(const DocumentList &list)
 {
+    if (!hasRegistrationList && list.position.era() > StorePosition::firstEra) {
+        // The store may lack most Vms, and this one, which has just started, doesn't know of them.
+        sharesBoundedUntil = clock.now() + Members::registrationGrace;
+        admission.noteStoreRestored(clock.now());
+    }
+    hasRegistrationList = true;
     std::vector<std::pair<RegisteredVm, VmRegistration>> vms;
     ownDocument = findRegistration(list);
     registrationRevisions.clear();
@@ -452,12 +459,9 @@
     sendReport(members.reportReceivers(), std::nullopt); // announces a restarted Vm at once instead of after a full status period
 }
 
-// A restored store may lack most Vms, and one that has just started doesn't know of them: it takes no larger share than one of the
-// smallest number of seat holders.
 void FleetVm::Impl::publishShares()
 {
-    const bool isStarting = clock.now() - startedAt < Members::registrationGrace;
-    const std::size_t n = std::max<std::size_t>(members.seatHolders().size(), isStarting ? minSeats : 1);
+    const std::size_t n = std::max<std::size_t>(members.seatHolders().size(), clock.now() < sharesBoundedUntil ? minSeats : 1);
     proxy.setRetryShare(holdsSeat() ? 1.0 / static_cast<double>(n) : 0);
     proxy.setVmCount(static_cast<std::uint32_t>(n));
 }
@@ -634,8 +638,7 @@
     if (!started) {
         return started;
     }
-    startedAt = clock.now();
-    lastPeerReportAt = startedAt;
+    lastPeerReportAt = clock.now();
     startFollowing();
     feed.startPolling();
     net::co_spawn(context, applyRosterExpiry(), net::detached);
--- a/packages/policy/include/pollenspoke/policy.h
+++ b/packages/policy/include/pollenspoke/policy.h
@@ -943,9 +943,9 @@
 
     /// `holders` is from assignSeats(), the same on all Vms. Call it periodically: for `seatGrace` after the store was restored, when
     /// its list of Vms is incomplete, the previous holders stay. No holders (this Vm is isolated) take effect at once. The first ones
-    /// may be from an incomplete list too: for as long, the shares are no larger than those among `minSeats` holders.
+    /// may then be from an incomplete list too: for as long, the shares are no larger than those among `minSeats` holders.
     void setSeats(const VmName &self, std::vector<VmName> holders, TimePoint now);
-    void noteStoreRestored(TimePoint noticedAt); // from an older copy
+    void noteStoreRestored(TimePoint noticedAt); // from an older copy; also at start, if it ever was
     std::vector<VmName> homes(const AccountName &account, const Limits &limits) const;
     void addAccount(const AccountName &account, const Limits &limits, TimePoint now); // starts refilling its bucket
     QuotaDecision decide(const AccountName &account, const Limits &limits, TimePoint now);
--- a/packages/policy/src/quota_pool.cpp
+++ b/packages/policy/src/quota_pool.cpp
@@ -89,7 +89,7 @@
     if (isKept || (self == m_self && holders == m_holders)) {
         return;
     }
-    if (m_holders.empty()) {
+    if (m_holders.empty() && now < m_seatsKeptUntil) {
         m_startEndsAt = now + m_options.seatGrace;
     }
     m_self = self;
