Quota: the bound on a starting VM's share lasts until its list can be complete

A VM that is starting keeps no holders, and its bound lasts as long as its list of VMs may be incomplete, 5 s.

--- a/packages/policy/include/pollenspoke/policy.h
+++ b/packages/policy/include/pollenspoke/policy.h
@@ -926,6 +926,7 @@
     double initialTokensPerHome = 0.5;                    // tokens at start-up; given as whole tokens to some of the homes
     Duration askPause = std::chrono::milliseconds(60);    // before asking again after no seat holder had a token
     Duration seatGrace = std::chrono::milliseconds(2200); // Vms register again within 2 s with a restored store
+    Duration startGrace = std::chrono::seconds(5);        // until the list of a Vm that starts after that is complete
     auto operator<=>(const QuotaPoolOptions &) const = default;
 };
 
@@ -943,7 +944,7 @@
 
     /// `holders` is from assignSeats(), the same on all Vms. Call it periodically: for `seatGrace` after the store was restored, when
     /// its list of Vms is incomplete, the previous holders stay. No holders (this Vm is isolated) take effect at once. The first ones
-    /// may then be from an incomplete list too: for as long, the shares are no larger than those among `minSeats` holders.
+    /// may then be from an incomplete list too: for `startGrace`, the shares are no larger than those among `minSeats` holders.
     void setSeats(const VmName &self, std::vector<VmName> holders, TimePoint now);
     void noteStoreRestored(TimePoint noticedAt); // from an older copy; also at start, if it ever was
     std::vector<VmName> homes(const AccountName &account, const Limits &limits) const;
--- a/packages/policy/src/quota_pool.cpp
+++ b/packages/policy/src/quota_pool.cpp
@@ -85,12 +85,12 @@
 
 void QuotaPool::setSeats(const VmName &self, std::vector<VmName> holders, TimePoint now)
 {
-    const bool isKept = now < m_seatsKeptUntil && !m_holders.empty() && !holders.empty();
+    const bool isKept = now < m_seatsKeptUntil && !m_startEndsAt && !m_holders.empty() && !holders.empty();
     if (isKept || (self == m_self && holders == m_holders)) {
         return;
     }
     if (m_holders.empty() && now < m_seatsKeptUntil) {
-        m_startEndsAt = now + m_options.seatGrace;
+        m_startEndsAt = now + m_options.startGrace;
     }
     m_self = self;
     m_holders = std::move(holders);
