Dispatcher: a request runs at no more targets than its route allows

Found by reading: a pooled connection that closes without an answer isn't counted as an attempt, since the target isn't to blame; if the new connection to that target is refused, the request goes on to two more. Targets that may have executed the request are now counted whatever became of the connection.

--- a/packages/proxy/src/dispatcher.cpp
+++ b/packages/proxy/src/dispatcher.cpp
@@ -174,6 +174,9 @@
         if (std::optional<Refusal> refusal = co_await acquireTarget(request, trace, progress)) {
             co_return refusal;
         }
+        if (exceedsAttempts(progress)) {
+            break;
+        }
         if (isStopTooClose(request, trace)) { // checked last, since the request may have waited for a target
             co_return trace.mayHaveRun ? makeFinalRefusal(request, trace, progress) : makeStopRefusal();
         }
@@ -251,6 +254,13 @@
     return progress.hasReservedRetry;
 }
 
+// A connection that failed isn't counted as an attempt, but its target may have executed the request.
+bool Dispatcher::exceedsAttempts(const Progress &progress)
+{
+    return progress.ranAt.size() >= progress.plan.maxAttempts
+        && std::find(progress.ranAt.begin(), progress.ranAt.end(), progress.id.target) == progress.ranAt.end();
+}
+
 bool Dispatcher::isStopTooClose(const DispatchRequest &request, const DispatchTrace &trace) const
 {
     const std::shared_ptr<const PlannedStop> stop = m_stop.load();
@@ -331,6 +341,9 @@
         progress.reason = failure.reason;
         progress.mayHaveRun = failure.mayHaveRun;
     }
+    if (failure.mayHaveRun && std::find(progress.ranAt.begin(), progress.ranAt.end(), progress.id.target) == progress.ranAt.end()) {
+        progress.ranAt.push_back(progress.id.target);
+    }
     progress.last = failure;
     progress.retriesSameTarget = !failure.isTargetFault;
     if (!failure.isTargetFault) {
--- a/packages/proxy/src/dispatcher.h
+++ b/packages/proxy/src/dispatcher.h
@@ -88,7 +88,8 @@
     {
         AttemptPlan plan;
         std::vector<TargetName> tried;
-        std::uint32_t sendCount = 0; // attempts that wrote at least one byte to a target
+        std::vector<TargetName> ranAt; // targets that may have executed the request
+        std::uint32_t sendCount = 0;   // attempts that wrote at least one byte to a target
         std::uint32_t connectFailures = 0;
         bool hasReservedRetry = false; // the retry budget has been charged for the next attempt
         std::optional<AttemptFailure> last;
@@ -107,6 +108,7 @@
     net::awaitable<tl::expected<Target, AcquireFailure>>
     acquireSlot(const DispatchRequest &request, const Progress &progress, std::vector<TargetName> tried, TargetReservation &reservation);
     bool reserveRetry(const DispatchRequest &request, Progress &progress);
+    static bool exceedsAttempts(const Progress &progress);
     bool isStopTooClose(const DispatchRequest &request, const DispatchTrace &trace) const;
     Refusal makeFinalRefusal(const DispatchRequest &request, const DispatchTrace &trace, const Progress &progress) const;
     static void logFailure(const DispatchRequest &request, const Progress &progress, const AttemptFailure &failure, Duration elapsed);
