--- a/packages/proxy/tests/test_planned_stop.cpp
+++ b/packages/proxy/tests/test_planned_stop.cpp
@@ -235,7 +235,7 @@
     RawCaller caller(fixture.port());
     caller.send(makeRequest("GET", "/work"));
     BOOST_REQUIRE(eventually([&] { return started == 1; }));
-    fixture.proxy().beginLeave({.totalTime = std::chrono::milliseconds(300)});
+    fixture.proxy().beginLeave({.totalTime = std::chrono::milliseconds(100)});
     BOOST_TEST(!fixture.proxy().drainAndStop());
     gate.open();
 }
