--- a/packages/proxy/src/dispatcher.cpp
+++ b/packages/proxy/src/dispatcher.cpp
@@ -283,15 +283,14 @@
     if (progress.retriesSameTarget && resolved.serviceName == progress.id.service && isServing(*resolved.service, progress.id)) {
         co_return std::nullopt;
     }
-    const AcquireRequest acquireRequest{.service = resolved.serviceName,
-                                        .route = resolved.routeName,
-                                        .tried = progress.tried,
-                                        .priority = resolved.effectivePriority(),
-                                        .limit = connectionLimit(*resolved.service),
-                                        .isRetryable = resolved.isIdempotent && progress.plan.attempt < progress.plan.maxAttempts,
-                                        .objective = milliseconds(resolved.route->objectiveMs),
-                                        .deadline = request.deadline};
-    const auto target = co_await m_targets.acquire(acquireRequest, progress.reservation);
+    const TargetId nextId = std::exchange(progress.nextId, {});
+    TargetReservation nextReservation = std::move(progress.nextReservation);
+    if (resolved.serviceName == nextId.service && isServing(*resolved.service, nextId)) {
+        progress.id = nextId;
+        progress.reservation = std::move(nextReservation);
+        co_return std::nullopt;
+    }
+    const auto target = co_await acquireSlot(request, progress, progress.tried, progress.reservation);
     if (target) {
         progress.id = {resolved.serviceName, target->name, target->address};
         co_return std::nullopt;
@@ -304,6 +303,23 @@
     co_return Refusal{.reason = isQueueFull ? RefusalReason::QueueFull : RefusalReason::NoTarget, .retryAfter = retryAfter};
 }
 
+net::awaitable<tl::expected<Target, AcquireFailure>> Dispatcher::acquireSlot(const DispatchRequest &request,
+                                                                             const Progress &progress,
+                                                                             std::vector<TargetName> tried,
+                                                                             TargetReservation &reservation)
+{
+    const ResolvedRequest &resolved = request.resolved;
+    const AcquireRequest acquireRequest{.service = resolved.serviceName,
+                                        .route = resolved.routeName,
+                                        .tried = std::move(tried),
+                                        .priority = resolved.effectivePriority(),
+                                        .limit = connectionLimit(*resolved.service),
+                                        .isRetryable = resolved.isIdempotent && progress.plan.attempt < progress.plan.maxAttempts,
+                                        .objective = milliseconds(resolved.route->objectiveMs),
+                                        .deadline = request.deadline};
+    co_return co_await m_targets.acquire(acquireRequest, reservation);
+}
+
 void Dispatcher::recordFailure(const AttemptFailure &failure, Progress &progress)
 {
     if (failure.mayHaveRun || !progress.mayHaveRun) {
@@ -351,7 +367,7 @@
         Descriptor idle = takePooledConnection(attempt);
         attempt.isPooled = idle.isOpen() && connection.adopt(attempt.id.address, std::move(idle));
     }
-    attempt.attemptDeadline = attempt.startedAt + attemptTimeout(plan, attempt.isPooled, attempt.startedAt);
+    attempt.patienceEndsAt = attempt.startedAt + attemptTimeout(plan, attempt.isPooled, attempt.startedAt);
     if (attempt.isPooled) {
         m_dependencies.metrics.count(Counter::ConnectionsReused);
         co_return co_await exchange(request, attempt, connection, progress, trace, reply);
@@ -380,7 +396,7 @@
     RequestSerializer serializer(message);
     const bool mayHaveRunBefore = trace.mayHaveRun;
     trace.mayHaveRun = true; // set before writing: the coroutine may be cancelled during the write
-    if (co_await connection.beginSend(serializer, attempt.attemptDeadline) == 0) {
+    if (co_await connection.beginSend(serializer, attempt.patienceEndsAt) == 0) {
         trace.mayHaveRun = mayHaveRunBefore;
         co_return AttemptFailure{.reason = attempt.isPooled ? RetryReason::StaleConnection : RetryReason::ConnectFailed,
                                  .isTargetFault = !attempt.isPooled,
@@ -389,14 +405,23 @@
     ++progress.sendCount;
     m_dependencies.metrics.count(Counter::Dispatches);
     AttemptResult result;
-    if (connection.hasSentAll()) {
-        result = co_await receive(request, attempt, connection, progress, reply);
-    } else {
-        // Assigned through a reference, since operator|| would flatten the nested variants.
-        const auto receiveInto = [&](AttemptResult &destination) -> net::awaitable<void> {
+    // Assigned through a reference, since operator|| would flatten the nested variants.
+    const auto receiveInto = [&](AttemptResult &destination) -> net::awaitable<void> {
+        if (connection.hasSentAll()) {
             destination = co_await receive(request, attempt, connection, progress, reply);
-        };
-        co_await (receiveInto(result) || connection.sendRemaining(serializer, attempt.attemptDeadline));
+        } else {
+            const auto receiveOnly
+                = [&]() -> net::awaitable<void> { destination = co_await receive(request, attempt, connection, progress, reply); };
+            co_await (receiveOnly() || connection.sendRemaining(serializer, request.deadline));
+        }
+    };
+    if (attempt.patienceEndsAt < request.deadline) {
+        const auto outcome = co_await (receiveInto(result) || waitForReplacement(request, attempt, connection, progress, trace, reply));
+        if (outcome.index() == 1) {
+            result = makeFailure(ReceiveError::Timeout, attempt, connection);
+        }
+    } else {
+        co_await receiveInto(result);
     }
     if (const auto *failure = std::get_if<AttemptFailure>(&result)) {
         trace.mayHaveRun = failure->mayHaveRun || mayHaveRunBefore;
@@ -411,11 +436,42 @@
     co_return result;
 }
 
+// Returns once the attempt has been too slow and another one can take its place. Until then the target may still answer: giving up the
+// attempt without a replacement would fail a request that has time left.
+net::awaitable<void> Dispatcher::waitForReplacement(const DispatchRequest &request,
+                                                    const Attempt &attempt,
+                                                    const TargetConnection &connection,
+                                                    Progress &progress,
+                                                    const DispatchTrace &trace,
+                                                    const ReplyWriter &reply)
+{
+    net::steady_timer timer(co_await net::this_coro::executor);
+    timer.expires_after(attempt.patienceEndsAt - m_dependencies.clock.now());
+    co_await timer.async_wait(asTuple);
+    bool isReplaced = !reply.hasStarted() && !isStopTooClose(request, trace) && reserveRetry(request, progress);
+    const bool retriesSameTarget = attempt.isPooled && !connection.hasReceivedBytes() && progress.plan.attempt >= progress.plan.maxAttempts;
+    if (isReplaced && !retriesSameTarget) {
+        std::vector<TargetName> tried = progress.tried;
+        tried.push_back(attempt.id.target);
+        TargetReservation reservation;
+        const auto target = co_await acquireSlot(request, progress, std::move(tried), reservation);
+        isReplaced = target && target->name != attempt.id.target && !reply.hasStarted();
+        if (isReplaced) {
+            progress.nextId = {request.resolved.serviceName, target->name, target->address};
+            progress.nextReservation = std::move(reservation);
+        }
+    }
+    if (!isReplaced) {
+        timer.expires_at(net::steady_timer::time_point::max());
+        co_await timer.async_wait(asTuple);
+    }
+}
+
 net::awaitable<Dispatcher::AttemptResult> Dispatcher::receive(
     const DispatchRequest &request, const Attempt &attempt, TargetConnection &connection, Progress &progress, ReplyWriter &reply)
 {
     const bool isHead = request.message.method() == http::verb::head;
-    const std::optional<ReceiveError> receiveError = co_await connection.receiveHeader(isHead, attempt.attemptDeadline);
+    const std::optional<ReceiveError> receiveError = co_await connection.receiveHeader(isHead, request.deadline);
     if (receiveError) {
         co_return makeFailure(*receiveError, attempt, connection);
     }
@@ -481,7 +537,7 @@
     std::string body;
     while (!connection.isComplete() && (!length || *length <= maxBufferedBytes) && body.size() < maxBufferedBytes) {
         const std::size_t limit = std::min<std::uint64_t>(m_options.dispatch.streamPartBytes, maxBufferedBytes - body.size());
-        const std::optional<ReceiveError> receiveError = co_await connection.receivePart(body, limit, attempt.attemptDeadline);
+        const std::optional<ReceiveError> receiveError = co_await connection.receivePart(body, limit, request.deadline);
         if (receiveError) {
             co_return makeFailure(*receiveError, attempt, connection);
         }
--- a/packages/proxy/src/dispatcher.h
+++ b/packages/proxy/src/dispatcher.h
@@ -78,7 +78,7 @@
         TargetId id;
         TargetReservation &reservation; // released together with returning the connection to the pool
         TimePoint startedAt;
-        TimePoint attemptDeadline;
+        TimePoint patienceEndsAt; // then it is given up, if another attempt can take its place
         bool isPooled = false;
     };
 
@@ -97,10 +97,14 @@
         bool retriesSameTarget = false;    // only a connection failed; retry the same target
         TargetId id;
         TargetReservation reservation;
+        TargetId nextId; // of the target reserved for the next attempt while the present one was still running
+        TargetReservation nextReservation;
     };
 
     std::optional<Refusal> resolveForRetry(DispatchRequest &request, const DispatchTrace &trace, Progress &progress) const;
     net::awaitable<std::optional<Refusal>> acquireTarget(const DispatchRequest &request, const DispatchTrace &trace, Progress &progress);
+    net::awaitable<tl::expected<Target, AcquireFailure>>
+    acquireSlot(const DispatchRequest &request, const Progress &progress, std::vector<TargetName> tried, TargetReservation &reservation);
     bool reserveRetry(const DispatchRequest &request, Progress &progress);
     bool isStopTooClose(const DispatchRequest &request, const DispatchTrace &trace) const;
     Refusal makeFinalRefusal(const DispatchRequest &request, const DispatchTrace &trace, const Progress &progress) const;
@@ -114,6 +118,12 @@
                                            Progress &progress,
                                            DispatchTrace &trace,
                                            ReplyWriter &reply);
+    net::awaitable<void> waitForReplacement(const DispatchRequest &request,
+                                            const Attempt &attempt,
+                                            const TargetConnection &connection,
+                                            Progress &progress,
+                                            const DispatchTrace &trace,
+                                            const ReplyWriter &reply);
     net::awaitable<AttemptResult>
     receive(const DispatchRequest &request, const Attempt &attempt, TargetConnection &connection, Progress &progress, ReplyWriter &reply);
     net::awaitable<AttemptResult>
--- a/packages/proxy/src/proxy.cpp
+++ b/packages/proxy/src/proxy.cpp
@@ -51,7 +51,7 @@
     bool hasNoConnections() const; // none is open, being refused or waiting to be accepted
     void publishVms();
     void stopWorkers();
-    void visitSessions(void (Session::*function)()); // calls it on each session's worker
+    void visitSessions(void (Session::*function)());                                   // calls it on each session's worker
     bool waitUntil(const std::function<bool()> &condition, TimePoint timeLimit) const; // false: the time limit passed
 
     ProxyOptions options;
--- /dev/null
+++ b/packages/proxy/tests/test_given_up_attempts.cpp
@@ -0,0 +1,62 @@
+// Attempts that the proxy itself ends: a slow one is given up only for another.
+#include "front_fixture.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace Pollenspoke;
+using namespace std::chrono_literals;
+
+namespace {
+
+// Answers each request after a fixed time.
+class SlowTarget
+{
+public:
+    explicit SlowTarget(std::chrono::milliseconds workTime)
+        : m_target([this, workTime](AcceptedConnection &connection) {
+            while (const std::optional<ReceivedRequest> request = connection.readRequest()) {
+                m_target.recordRequest(*request);
+                std::this_thread::sleep_for(workTime);
+                connection.respond(*request, "done");
+            }
+        })
+    {
+    }
+    Address address() const { return m_target.address(); }
+    std::size_t received() const { return m_target.requests().size(); }
+
+private:
+    ScriptedTarget m_target;
+};
+
+} // namespace
+
+// A request was answered 504 after 0.6 s of its 4 s while its target was at work: it was given up for a retry that the budget refused.
+BOOST_AUTO_TEST_CASE(a_slow_attempt_goes_on_if_the_retry_budget_allows_no_other)
+{
+    SlowTarget target(1300ms);
+    ProxyOptions options;
+    options.dispatch.retryBudget = {.ratio = 0, .reserve = 0};
+    ProxyFixture fixture({.targets = {target.address()}, .proxy = options, .routeFields = ", deadline_ms: 2000, max_attempts: 2"});
+    const RawCaller::Response response = RawCaller(fixture.port()).request("GET", "/work");
+    BOOST_TEST(response.status == 200U);
+    BOOST_TEST(response.body == "done");
+    BOOST_TEST(target.received() == 1U);
+}
+
+// As above, but no target has a free slot for the retry.
+BOOST_AUTO_TEST_CASE(a_slow_attempt_goes_on_if_no_other_target_has_room)
+{
+    SlowTarget target(1300ms);
+    ProxyOptions options;
+    options.dispatch.targetQueue = 0;
+    ProxyFixture fixture({.targets = {target.address()}, .proxy = options, .routeFields = ", deadline_ms: 2000, max_attempts: 2"});
+    std::list<RawCaller> callers;
+    for (int i = 0; i < 2; ++i) { // the target's slots
+        callers.emplace_back(fixture.port()).send(makeRequest("GET", "/work/" + std::to_string(i)));
+    }
+    for (RawCaller &it : callers) {
+        BOOST_TEST(it.readResponse().status == 200U);
+    }
+    BOOST_TEST(target.received() == 2U);
+}
