--- a/packages/fleet/src/fleet_vm.cpp
+++ b/packages/fleet/src/fleet_vm.cpp
@@ -19,7 +19,7 @@
 constexpr auto idleCheckInterval = std::chrono::milliseconds(500);   // the same on a Vm without a seat
 constexpr auto isolationTimeout = std::chrono::seconds(30);          // a Vm without reports from others for this long stops using its seat
 constexpr auto addressSpreadTime = std::chrono::milliseconds(750);   // until no Vm offers the address of one that leaves
-constexpr auto exitTime = std::chrono::milliseconds(400);            // of the grace time, for a late signal and for the exit itself
+constexpr auto exitTime = std::chrono::milliseconds(400);            // of the grace time, for a late signal, the last answers and the exit
 constexpr double maxMillicores = 1e6;                                // plausibility limit for a registration
 constexpr auto deregistrationTimeout = std::chrono::seconds(90);     // a Vm without reports for this long is removed from the store
 
--- a/packages/policy/include/pollenspoke/policy.h
+++ b/packages/policy/include/pollenspoke/policy.h
@@ -1023,7 +1023,7 @@
 struct StopSchedule
 {
     Duration acceptTime{}; // requests are accepted as usual, since callers may still have this Vm's address
-    Duration totalTime{};  // the process then ends, whatever is in flight
+    Duration totalTime{};  // requests still in flight then get a last answer, and the process ends
     auto operator<=>(const StopSchedule &) const = default;
 };
 
--- a/packages/proxy/src/dispatcher.cpp
+++ b/packages/proxy/src/dispatcher.cpp
@@ -459,7 +459,7 @@
         tried.push_back(attempt.id.target);
         TargetReservation reservation;
         const auto target = co_await acquireSlot(request, progress, std::move(tried), reservation);
-        isReplaced = target && target->name != attempt.id.target && !reply.hasStarted();
+        isReplaced = target && !reply.hasStarted();
         if (isReplaced) {
             progress.nextId = {request.resolved.serviceName, target->name, target->address};
             progress.nextReservation = std::move(reservation);
--- a/packages/proxy/src/proxy.cpp
+++ b/packages/proxy/src/proxy.cpp
@@ -14,7 +14,7 @@
 constexpr std::size_t maxPendingRejections = 256; // connections above the limit that are sent a refusal concurrently
 constexpr std::size_t maxQueuedAccepts = 65536;   // bound of the final accept loop before the listener closes
 constexpr auto rejectionRetryAfter = std::chrono::seconds(1);
-constexpr auto abortTime = std::chrono::milliseconds(150); // at the end of a stop, to answer what is still in flight
+constexpr auto abortTime = std::chrono::milliseconds(150); // after the end of a stop, to answer what is still in flight
 
 } // namespace
 
@@ -325,7 +325,7 @@
         }
     });
     m_impl->visitSessions(&Session::closeWhenIdle);
-    bool isDrained = m_impl->waitUntil([this] { return m_impl->hasNoConnections(); }, stop->endsAt() - abortTime);
+    bool isDrained = m_impl->waitUntil([this] { return m_impl->hasNoConnections(); }, stop->endsAt());
     if (!isDrained) {
         const auto hasNoRequests = [this] { return m_impl->dependencies.metrics.value(Gauge::RequestsInFlight) == 0; };
         isDrained = !m_impl->isAccepting && hasNoRequests(); // the remaining connections are idle
--- a/packages/proxy/src/reply_writer.cpp
+++ b/packages/proxy/src/reply_writer.cpp
@@ -114,6 +114,7 @@
 void ReplyWriter::resetConnection()
 {
     m_context.keepsConnection = false;
+    m_isReset = true;
     SystemError ec;
     m_stream.socket().set_option(net::socket_base::linger(true, 0), ec);
     m_stream.socket().close(ec);
--- a/packages/proxy/src/reply_writer.h
+++ b/packages/proxy/src/reply_writer.h
@@ -35,6 +35,7 @@
     void resetConnection(); // so that a truncated response can't be mistaken for a complete one
 
     bool hasStarted() const { return m_hasStarted; }
+    bool isReset() const { return m_isReset; } // resetConnection() was called
     bool keepsConnection() const { return m_context.keepsConnection; }
 
 private:
@@ -48,6 +49,7 @@
     ReplyContext m_context;
     const WireContract &m_contract;
     bool m_hasStarted = false;
+    bool m_isReset = false;
     bool m_isChunked = false;
 };
 
--- a/packages/proxy/src/session.cpp
+++ b/packages/proxy/src/session.cpp
@@ -337,15 +337,19 @@
                 refusal = abortRefusal(trace);
                 logAborted(*refusal, requestId, trace, reply.hasStarted(), m_shared.dependencies.clock.now() - receivedAt);
                 if (reply.hasStarted()) { // a part of a response must not look complete
-                    m_shared.dependencies.metrics.count(Counter::AnswersCut);
-                    reply.resetConnection();
+                    if (!reply.isReset()) {
+                        m_shared.dependencies.metrics.count(Counter::AnswersCut);
+                        reply.resetConnection();
+                    }
                     co_return ConnectionAction::Drop;
                 }
             }
             if (isCallerGone && reply.hasStarted()) {
                 // The caller disconnected or stopped reading while its response was being sent. This doesn't count as a refusal.
-                m_shared.dependencies.metrics.count(Counter::AnswersCut);
-                reply.resetConnection();
+                if (!reply.isReset()) { // else the dispatch closed the connection and counted it
+                    m_shared.dependencies.metrics.count(Counter::AnswersCut);
+                    reply.resetConnection();
+                }
                 co_return ConnectionAction::Drop;
             }
             if (isCallerGone) {
