--- a/packages/proxy/src/reply_writer.cpp
+++ b/packages/proxy/src/reply_writer.cpp
@@ -27,8 +27,9 @@
     return copy;
 }
 
-void ReplyWriter::setConnectionHeader(http::response_header<> &header) const
+void ReplyWriter::setConnectionHeader(http::response_header<> &header)
 {
+    m_context.keepsConnection = m_context.keepsConnection && !(m_context.isEnding && m_context.isEnding());
     if (!m_context.keepsConnection) {
         header.set(http::field::connection, "close");
     } else if (m_context.httpVersion == 10) {
--- a/packages/proxy/src/reply_writer.h
+++ b/packages/proxy/src/reply_writer.h
@@ -10,10 +10,11 @@
 struct ReplyContext
 {
     std::string requestId;
-    unsigned httpVersion = 11;   // of the request, 10 or 11
-    bool isHead = false;         // HEAD request: the response has no body
-    bool keepsConnection = true; // keep-alive
-    Duration writeTimeout{};     // of each write
+    unsigned httpVersion = 11;      // of the request, 10 or 11
+    bool isHead = false;            // HEAD request: the response has no body
+    bool keepsConnection = true;    // keep-alive
+    std::function<bool()> isEnding; // asked when a response begins: closes the connection after it
+    Duration writeTimeout{};        // of each write
 };
 
 class ReplyWriter
@@ -39,7 +40,7 @@
     bool keepsConnection() const { return m_context.keepsConnection; }
 
 private:
-    void setConnectionHeader(http::response_header<> &header) const;
+    void setConnectionHeader(http::response_header<> &header);
     http::response_header<> copyHeader(const http::response_header<> &header) const;
 
     template<typename Body>
--- a/packages/proxy/src/session.cpp
+++ b/packages/proxy/src/session.cpp
@@ -283,7 +283,8 @@
     return ReplyContext{.requestId = std::move(requestId),
                         .httpVersion = header.version(),
                         .isHead = header.method() == http::verb::head,
-                        .keepsConnection = !isClosing && (header.version() != 10 || isKeepAlive) && !isStopping(),
+                        .keepsConnection = !isClosing && (header.version() != 10 || isKeepAlive),
+                        .isEnding = [this] { return isStopping() && m_buffer.size() == 0; }, // a request that was read is answered, too
                         .writeTimeout = milliseconds(m_shared.options.front.writeTimeoutMs)};
 }
 
--- a/packages/proxy/tests/test_stop_phases.cpp
+++ b/packages/proxy/tests/test_stop_phases.cpp
@@ -366,6 +366,23 @@
     BOOST_TEST(target.received() == 1U);
 }
 
+// The answer to the first request closed the connection, and the second one, which had been read meanwhile, got no answer.
+BOOST_AUTO_TEST_CASE(pipelined_requests_that_were_read_during_the_stop_are_all_answered)
+{
+    GatedTarget target;
+    ProxyFixture fixture({.targets = {target.address()}, .routeFields = longRoute});
+    fixture.proxy().beginLeave({.acceptTime = 20s, .totalTime = 40s});
+    RawCaller caller(fixture.port());
+    caller.send(makeOrder("/work/first") + makeOrder("/work/second"));
+    BOOST_REQUIRE(target.waitForRequests(1));
+    target.open();
+    BOOST_TEST(caller.readResponse().body == "/work/first");
+    const RawCaller::Response second = caller.readResponse();
+    if (second.status != 200U) {
+        checkRefusal(second, 503, "shutting_down");
+    }
+}
+
 // Another Vm's token came after the accept time, and the request was begun on it.
 BOOST_AUTO_TEST_CASE(a_request_admitted_only_after_the_accept_time_is_refused)
 {
