--- a/packages/proxy/src/dispatcher.cpp
+++ b/packages/proxy/src/dispatcher.cpp
@@ -434,7 +434,12 @@
         const Duration latency = m_dependencies.clock.now() - sentAt;
         const bool isServerError = connection.header().result_int() >= firstServerErrorStatus;
         m_dependencies.metrics.recordTiming(Timing::Target, latency);
-        const AttemptEnd end = isServerError || !connection.isComplete() ? AttemptEnd::Failed : AttemptEnd::Answered;
+        AttemptEnd end = isServerError || !connection.isComplete() ? AttemptEnd::Failed : AttemptEnd::Answered;
+        const auto *streamed = std::get_if<StreamedResponse>(&result);
+        const bool isCancelled = (co_await net::this_coro::cancellation_state).cancelled() != net::cancellation_type::none;
+        if (!isServerError && !connection.isComplete() && (isCancelled || (streamed != nullptr && streamed->hasCallerLeft))) {
+            end = AttemptEnd::Abandoned; // the target wasn't the one that stopped
+        }
         returnToPool(request, attempt, connection, end, latency);
         attempt.reservation.finish(end, latency);
     }
@@ -581,12 +586,13 @@
             = co_await connection.receivePart(part, m_options.dispatch.streamPartBytes, request.deadline);
         isReceived = !receiveError;
     }
+    const bool hasCallerLeft = !isSent;
     isSent = isSent && isReceived && co_await reply.endStream();
     if (!isSent) {
         reply.resetConnection();
     }
     m_dependencies.metrics.count(isSent ? Counter::AnswersWhole : Counter::AnswersCut);
-    co_return StreamedResponse{};
+    co_return StreamedResponse{.hasCallerLeft = hasCallerLeft};
 }
 
 Descriptor Dispatcher::takePooledConnection(const Attempt &attempt)
--- a/packages/proxy/src/dispatcher.h
+++ b/packages/proxy/src/dispatcher.h
@@ -70,6 +70,7 @@
     };
     struct StreamedResponse // already forwarded, completely or not
     {
+        bool hasCallerLeft = false; // while it was sent
     };
     using AttemptResult = std::variant<BufferedResponse, StreamedResponse, AttemptFailure>;
 
--- a/packages/proxy/tests/test_given_up_attempts.cpp
+++ b/packages/proxy/tests/test_given_up_attempts.cpp
@@ -171,6 +171,22 @@
     BOOST_TEST(response.status == 200U);
 }
 
+// As above, while a download was being sent to the caller.
+BOOST_AUTO_TEST_CASE(a_caller_that_leaves_a_download_is_no_evidence_against_the_target)
+{
+    SlowBody target(300ms);
+    ProxyOptions options;
+    options.dispatch.wholeAnswerBytes = 2;
+    ProxyFixture fixture({.targets = {target.address()}, .proxy = options});
+    {
+        RawCaller caller(fixture.port());
+        caller.send(makeRequest("GET", "/work/slow"));
+        BOOST_REQUIRE(caller.waitForBytes());
+    }
+    BOOST_REQUIRE(eventually([&] { return fixture.metrics().value(Gauge::RequestsInFlight) == 0; }));
+    BOOST_TEST(countFailures(fixture.proxy().targetUpdates()) == 0U);
+}
+
 // Without it a target that is slow, but not silent for good, would use up the whole time of the request.
 BOOST_AUTO_TEST_CASE(a_slow_attempt_is_replaced_by_one_at_another_target)
 {
