--- a/packages/proxy/src/session.cpp
+++ b/packages/proxy/src/session.cpp
@@ -377,7 +377,7 @@
 net::awaitable<Session::ConnectionAction> Session::sendAddresses(HeaderParser &header, ReplyWriter &reply)
 {
     const auto caller = resolveCaller(m_shared.snapshot.load(), header.get(), m_shared.options.wire);
-    const bool hasBody = header.content_length().value_or(0) != 0;
+    const bool hasBody = header.content_length().value_or(0) != 0 || header.chunked();
     bool isSent = false;
     if (!caller || header.get().method() != http::verb::get || hasBody) {
         Refusal refusal = caller ? Refusal{.reason = RefusalReason::MethodNotAllowed} : caller.error();
--- a/packages/proxy/tests/test_address_answer.cpp
+++ b/packages/proxy/tests/test_address_answer.cpp
@@ -131,6 +131,22 @@
     BOOST_TEST(!listsItself());
 }
 
+// The chunked body of a request for the address list was read as the next request and run.
+BOOST_AUTO_TEST_CASE(a_chunked_body_of_a_request_for_addresses_is_not_run_as_a_request)
+{
+    RecordingTarget target;
+    ProxyOptions options;
+    options.addressTtlMs = ttlMs;
+    options.wire.acceptsChunkedRequests = true;
+    ProxyFixture fixture({.targets = {target.address()}, .proxy = options});
+    RawCaller caller(fixture.port());
+    caller.send(
+        makeRequest("GET", "/.well-known/pollenspoke/addresses", "Transfer-Encoding: chunked\r\n", makeRequest("GET", "/work/smuggled")));
+    BOOST_TEST(caller.readResponse().header("Connection") == "close");
+    BOOST_TEST(caller.isClosedByProxy());
+    BOOST_TEST(!target.hasReceived("/work/smuggled"));
+}
+
 BOOST_AUTO_TEST_CASE(the_address_list_requires_get_and_a_valid_key)
 {
     ProxyFixture fixture({.proxy = {.addressTtlMs = ttlMs}});
