Fleet: tells which declarations are in force, how old, and which polls failed

Observability for the late configurations, no change of logic. declarations_in_force (2007) names the operator's version, the time since the first VM got it from the store and the way it came; feed_poll_failed (2008) names the source and whether its reply was missing, late or outdated. Counters for polls, missing, late, outdated and uncovered replies, a gauge for the version and a histogram of its age. Changes carry their age and hops in the datagrams between VMs.

--- a/packages/base/include/pollenspoke/base.h
+++ b/packages/base/include/pollenspoke/base.h
@@ -220,6 +220,8 @@
     StoreRecovered          = 2004, // the platform's object API responds again
     ObjectSkipped           = 2005, // a stored object is invalid; its last valid version, if any, stays in force
     StoreEraChanged         = 2006, // the store was restored from an older copy
+    DeclarationsInForce     = 2007, // newer declarations took effect, with their age and the way they came
+    FeedPollFailed          = 2008, // another Vm's reply about the store's changes was missing, late or outdated
     RequestRefused          = 3001, // with reason and account; sampled
     AnswerDiscarded         = 3002, // a truncated, mismatched or unsolicited response was dropped
     SilentConnectionsClosed = 3003, // connections to a target stopped responding and were closed
@@ -232,6 +234,7 @@
     FloorReached            = 4003, // an ejection was suppressed: too few targets would remain in rotation
     TargetListed            = 4004, // a target registered, or its state or address changed
     TargetUnlisted          = 4005, // a target was removed after its registration ended, at once or after a grace period
+    TargetAnnounced         = 4006, // a target said in an answer that it is leaving, or for how long it wants no requests
     QuotaReclaimed          = 5001, // the quota grant of a lost Vm was reclaimed
     QuotaDenied             = 5002, // no tokens left locally, and none could be borrowed
     PeerSuspected           = 6001, // a peer stopped responding
--- a/packages/fleet/include/pollenspoke/fleet.h
+++ b/packages/fleet/include/pollenspoke/fleet.h
@@ -47,6 +47,8 @@
     bool isDeleted = false;
     StoredDocument document;
     StorePosition position; // of the change
+    Duration age{};         // since the first Vm got it from the store, without the transfers between Vms
+    std::uint32_t hops = 0; // Vms that it passed through before this one
 };
 
 struct DocumentChanges
--- a/packages/fleet/src/feed.cpp
+++ b/packages/fleet/src/feed.cpp
@@ -18,6 +18,7 @@
 constexpr auto startupGrace = std::chrono::milliseconds(2500);      // until the seat holders of a new fleet have found each other
 constexpr auto heldContentTimeout = std::chrono::seconds(10);       // with no Vm that answers, there is none that holds more
 constexpr auto directWatchTimeout = std::chrono::seconds(2);        // for a direct watch of the store by a Vm that isn't a store watcher
+constexpr std::size_t maxExpiredRequests = 16;                      // remembered, to recognize late replies
 
 } // namespace
 
@@ -49,10 +50,10 @@
     }
 }
 
-void ChangeLog::append(const DocumentChange &change)
+void ChangeLog::append(const DocumentChange &change, TimePoint now)
 {
     const std::string spec = formatJsonText(change.document.spec);
-    m_changes.push_back({.change = change, .bytes = change.document.name.size() + spec.size()});
+    m_changes.push_back({.change = change, .bytes = change.document.name.size() + spec.size(), .knownSince = now - change.age});
     m_newestChange = std::max(m_newestChange, change.position);
     if (change.isDeleted) {
         m_documents.erase(change.document.name);
@@ -69,7 +70,7 @@
     }
 }
 
-void ChangeLog::add(const DocumentChanges &changes)
+void ChangeLog::add(const DocumentChanges &changes, TimePoint now)
 {
     if (m_spans.empty()) {
         return;
@@ -78,12 +79,12 @@
     advance(changes.position);
     for (const DocumentChange &it : changes.events) {
         if (it.position > previousEnd) { // else already logged from another source
-            append(it);
+            append(it, now);
         }
     }
 }
 
-void ChangeLog::addList(const DocumentList &list)
+void ChangeLog::addList(const DocumentList &list, TimePoint now)
 {
     if (!m_spans.empty() && list.position <= end()) {
         return;
@@ -112,7 +113,7 @@
         changes.push_back({.isDeleted = true, .document = {.name = name, .revision = list.position.revision()}, .position = list.position});
     }
     advance(list.position);
-    std::for_each(changes.begin(), changes.end(), [this](const DocumentChange &it) { append(it); });
+    std::for_each(changes.begin(), changes.end(), [this, now](const DocumentChange &it) { append(it, now); });
 }
 
 // A cursor of an earlier era may be beyond the end of its span, as long as its sender knows no change that this log lacks.
@@ -126,7 +127,7 @@
     return cursor.since <= span->last || (cursor.since < end() && cursor.newestChange <= span->last);
 }
 
-std::optional<DocumentChanges> ChangeLog::since(const FeedCursor &cursor) const
+std::optional<DocumentChanges> ChangeLog::since(const FeedCursor &cursor, TimePoint now) const
 {
     if (!m_spans.empty() && cursor.since > end()) {
         return DocumentChanges{.position = end()}; // the receiver is ahead of this Vm
@@ -141,6 +142,7 @@
     for (auto it = first; it != m_changes.end(); ++it) {
         bytes += it->bytes;
         changes.events.push_back(it->change);
+        changes.events.back().age = std::max(now - it->knownSince, Duration(0));
     }
     return bytes > maxReplyBytes ? std::nullopt : std::optional(std::move(changes));
 }
@@ -202,7 +204,7 @@
         co_return tl::unexpected(Error{.code = ErrorCode::Unavailable, .path = kind, .detail = "list of a store that was restored since"});
     }
     m_lastStoreContactAt = m_clock.now();
-    m_logs[kind].addList(*result);
+    m_logs[kind].addList(*result, m_clock.now());
     co_return result;
 }
 
@@ -213,7 +215,7 @@
     recordAccess(changes.has_value(), changes ? ErrorCode() : changes.error().code);
     if (changes) {
         m_lastStoreContactAt = m_clock.now();
-        m_logs[kind].add(*changes);
+        m_logs[kind].add(*changes, m_lastStoreContactAt);
     }
     co_return changes;
 }
@@ -231,7 +233,7 @@
     net::steady_timer timer(m_context);
     while (!isStoreWatcher() && !watch.failures.isLimitReached()) {
         const TimePoint now = m_clock.now();
-        std::optional<DocumentChanges> changes = log.since(cursor);
+        std::optional<DocumentChanges> changes = log.since(cursor, now);
         const bool isStoreSilent = now - m_lastStoreContactAt > storeSilenceLimit;
         if (!changes) {
             break; // the log was trimmed meanwhile
@@ -396,8 +398,9 @@
         }
         if (changes) {
             watch->second.failures.recordChanges();
-            m_logs[kind].add(*changes);
+            m_logs[kind].add(*changes, now);
         } else {
+            m_metrics.count(Counter::FeedRepliesNotCovered);
             watch->second.failures.recordNotCovered();
         }
     }
@@ -415,27 +418,51 @@
         }
     }
     const auto entry = m_pendingRequests.emplace(request.id, PendingRequest{.timer = net::steady_timer(m_context, replyTimeout)}).first;
+    const TimePoint sentAt = m_clock.now();
+    const VmName sourceName = source.name;
+    m_metrics.count(Counter::FeedPolls);
     m_link.send(source.registration.peers, request);
     co_await entry->second.timer.async_wait(asTuple);
     std::optional<FeedReply> reply = std::move(entry->second.reply);
     m_pendingRequests.erase(entry);
-    if (reply) {
-        // The changes continue the log as it was; a list of this Vm may have moved it meanwhile.
-        std::erase_if(reply->changes, [this, &request](const auto &it) {
-            const auto sent = request.cursors.find(it.first);
-            return sent == request.cursors.end() || sent->second != m_logs[it.first].cursor();
-        });
+    if (!reply) {
+        m_metrics.count(Counter::FeedPollsUnanswered);
+        reportPollFailure(sourceName, "unanswered", m_clock.now() - sentAt);
+        m_expiredRequests.push_back({.id = request.id, .source = sourceName, .sentAt = sentAt});
+        if (m_expiredRequests.size() > maxExpiredRequests) {
+            m_expiredRequests.pop_front();
+        }
+        co_return std::nullopt;
+    }
+    // The changes continue the log as it was; a list of this Vm may have moved it meanwhile.
+    const std::size_t outdated = std::erase_if(reply->changes, [this, &request](const auto &it) {
+        const auto sent = request.cursors.find(it.first);
+        return sent == request.cursors.end() || sent->second != m_logs[it.first].cursor();
+    });
+    if (outdated > 0) {
+        m_metrics.count(Counter::FeedRepliesOutdated);
+        reportPollFailure(sourceName, "outdated", m_clock.now() - sentAt);
     }
     co_return reply;
 }
 
+void FeedStore::reportPollFailure(const VmName &source, std::string_view cause, Duration elapsed)
+{
+    const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(elapsed).count();
+    logEvent(Event::FeedPollFailed, {{"source", source.value}, {"cause", std::string(cause)}, {"after_ms", std::to_string(ms)}});
+}
+
 FeedReply FeedStore::answerRequest(const FeedRequest &request) const
 {
     const TimePoint now = m_clock.now();
     FeedReply reply{.id = request.id, .storeContactAge = now - m_lastStoreContactAt, .overdue = m_members.overdueSeatHolders(now)};
     for (const auto &[kind, cursor] : request.cursors) {
         const auto log = m_logs.find(kind);
-        reply.changes[kind] = log == m_logs.end() ? std::nullopt : log->second.since(cursor);
+        std::optional<DocumentChanges> changes = log == m_logs.end() ? std::nullopt : log->second.since(cursor, now);
+        if (changes) {
+            std::for_each(changes->events.begin(), changes->events.end(), [](DocumentChange &it) { ++it.hops; });
+        }
+        reply.changes[kind] = std::move(changes);
     }
     if (m_heldContent.declarationsVersion() > request.declarationsVersion) {
         reply.declarations = m_heldContent.declarations();
@@ -460,6 +487,14 @@
     if (it != m_pendingRequests.end()) {
         it->second.reply = reply;
         it->second.timer.cancel();
+        return;
+    }
+    const auto late = std::find_if(
+        m_expiredRequests.begin(), m_expiredRequests.end(), [&reply](const ExpiredRequest &it) { return it.id == reply.id; });
+    if (late != m_expiredRequests.end()) {
+        m_metrics.count(Counter::FeedRepliesLate);
+        reportPollFailure(late->source, "late", m_clock.now() - late->sentAt);
+        m_expiredRequests.erase(late);
     }
 }
 
--- a/packages/fleet/src/feed.h
+++ b/packages/fleet/src/feed.h
@@ -18,16 +18,16 @@
     static constexpr std::size_t maxReplyBytes = 2000000; // documents in one reply; twice the store's largest document
 
     void restartAt(StorePosition position); // empties the log; it covers changes after this position
-    void add(const DocumentChanges &changes);
+    void add(const DocumentChanges &changes, TimePoint now = {});
 
     /// Continues the log with a list, which may be all that is left after the store discarded its history: logs the differences
     /// from the documents known so far, or starts anew if not all are known. Ignores a list that is older than the log.
     ///
     /// A list of a later era continues the log, too: the differences lead from the last documents of the earlier era to those of the
     /// restored store.
-    void addList(const DocumentList &list);
+    void addList(const DocumentList &list, TimePoint now = {});
 
-    std::optional<DocumentChanges> since(const FeedCursor &cursor) const; // empty: not covered, or too large for one reply
+    std::optional<DocumentChanges> since(const FeedCursor &cursor, TimePoint now = {}) const; // empty: not covered, or too large
     bool covers(const FeedCursor &cursor) const;
     StorePosition end() const { return m_spans.empty() ? StorePosition() : m_spans.back().last; } // the default: not started
     FeedCursor cursor() const { return {.since = end(), .newestChange = m_newestChange}; }
@@ -37,6 +37,7 @@
     {
         DocumentChange change;
         std::size_t bytes = 0;
+        TimePoint knownSince; // when the first Vm got it from the store
     };
     struct Span // of one era: the log holds each change after `first` up to `last`
     {
@@ -53,7 +54,7 @@
 
     static KnownDocument describe(const StoredDocument &document, std::string_view spec);
     void advance(StorePosition position);
-    void append(const DocumentChange &change);
+    void append(const DocumentChange &change, TimePoint now);
 
     std::vector<Span> m_spans; // by era; empty: not started
     StorePosition m_newestChange;
@@ -125,6 +126,12 @@
         boost::asio::steady_timer timer;
         std::optional<FeedReply> reply;
     };
+    struct ExpiredRequest // its reply didn't arrive in time
+    {
+        std::uint64_t id = 0;
+        VmName source;
+        TimePoint sentAt;
+    };
     struct Watch // one per followed kind
     {
         FeedFailures failures;
@@ -145,6 +152,7 @@
     void applyReply(const FeedReply &reply);
     void recordAccess(bool succeeded, ErrorCode code);
     boost::asio::awaitable<std::optional<FeedReply>> requestChanges(const Member &source, bool includesCursors);
+    void reportPollFailure(const VmName &source, std::string_view cause, Duration elapsed);
     void wake(Watch &watch);
 
     boost::asio::io_context &m_context;
@@ -156,6 +164,7 @@
     std::map<std::string, ChangeLog> m_logs; // by kind
     std::map<std::string, Watch> m_watches;  // by kind
     std::map<std::uint64_t, PendingRequest> m_pendingRequests;
+    std::deque<ExpiredRequest> m_expiredRequests; // that may still be answered; oldest first
     std::uint64_t m_lastRequestId = 0;
     std::uint64_t m_requestCount = 0;
     HeldContent m_heldContent;
--- a/packages/fleet/src/fleet_vm.cpp
+++ b/packages/fleet/src/fleet_vm.cpp
@@ -73,6 +73,14 @@
 
 } // namespace
 
+// How the newest declarations reached this Vm.
+struct DeclarationsOrigin
+{
+    std::string_view way;   // "list" or "watch" of the store, "vm": from another Vm that held them
+    TimePoint knownSince;   // when the first Vm got them from the store; default: unknown
+    std::uint32_t hops = 0; // Vms that they passed through before this one
+};
+
 struct FleetVm::Impl
 {
     Impl(FleetOptions fleetOptions, PlatformAdapter platform)
@@ -109,6 +117,7 @@
     void registerIfNeeded();
     net::awaitable<void> registerSelf();
     void publishConfiguration();
+    void applyDeclarations(const StoredDocument &document, const DeclarationsOrigin &origin);
     net::awaitable<void> applyRosterExpiry();
     net::awaitable<void> reportStatus();
     net::awaitable<void> reportTargets();
@@ -137,6 +146,7 @@
     std::optional<PageServer> addresses;
     std::optional<PageServer> metricsPage;
     StorePosition newestChange;                            // of the declarations and targets
+    std::optional<DeclarationsOrigin> unpublishedOrigin;   // of declarations that aren't in force yet
     std::map<VmName, std::uint64_t> registrationRevisions; // store revision of each Vm's registration, in the store's present era
     std::optional<StoredDocument> ownDocument;             // this Vm's registration as last seen in the store
     StorePosition joinedAt;                                // of this Vm's first registration; the default: not registered yet
@@ -231,6 +241,26 @@
     admission.applySnapshot(snapshot);
     proxy.applySnapshot(snapshot);
     hasSnapshot = true;
+    if (unpublishedOrigin) {
+        const Duration age = unpublishedOrigin->knownSince == TimePoint() ? Duration(0) : clock.now() - unpublishedOrigin->knownSince;
+        metrics.setGauge(Gauge::DeclarationsVersion, static_cast<std::int64_t>(configuration.declarationsVersion()));
+        metrics.recordTiming(Timing::Declarations, age);
+        logEvent(Event::DeclarationsInForce,
+                 {{"version", std::to_string(configuration.declarationsVersion())},
+                  {"age_ms", std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(age).count())},
+                  {"way", std::string(unpublishedOrigin->way)},
+                  {"hops", std::to_string(unpublishedOrigin->hops)}});
+        unpublishedOrigin.reset();
+    }
+}
+
+void FleetVm::Impl::applyDeclarations(const StoredDocument &document, const DeclarationsOrigin &origin)
+{
+    const std::uint64_t previous = configuration.declarationsVersion();
+    configuration.applyDeclarations(document);
+    if (configuration.declarationsVersion() > previous) {
+        unpublishedOrigin = origin;
+    }
 }
 
 void FleetVm::Impl::recordEraChange(const std::string &kind, const EraChange &change)
@@ -258,10 +288,10 @@
 {
     const auto onCallFailed = [this](const Error &error) { recordStoreCall(false, describe(error)); };
     const auto onCallSucceeded = [this] { recordStoreCall(true, {}); };
-    const auto applyDocument = [this](const StoredDocument &document, const StorePosition &position) {
+    const auto applyDocument = [this](const StoredDocument &document, const StorePosition &position, const DeclarationsOrigin &origin) {
         if (document.name == format.declarationsName()) {
             newestChange = std::max(newestChange, position);
-            configuration.applyDeclarations(document);
+            applyDeclarations(document, origin);
         }
     };
     const auto onEraChanged
@@ -269,13 +299,15 @@
     declarationsHandler = {.onListed =
                                [applyDocument](const DocumentList &list) {
                                    for (const StoredDocument &it : list.items) {
-                                       applyDocument(it, {list.position.era(), it.revision});
+                                       applyDocument(it, {list.position.era(), it.revision}, {.way = "list"});
                                    }
                                },
                            .onChange =
-                               [applyDocument](const DocumentChange &change) {
+                               [this, applyDocument](const DocumentChange &change) {
                                    if (!change.isDeleted) {
-                                       applyDocument(change.document, change.position);
+                                       applyDocument(change.document,
+                                                     change.position,
+                                                     {.way = "watch", .knownSince = clock.now() - change.age, .hops = change.hops});
                                    }
                                },
                            .onUpdated = [this] { publishConfiguration(); },
@@ -315,9 +347,7 @@
                          .declarations = [this] { return configuration.declarationsDocument(); },
                          .onDeclarations =
                              [this](const StoredDocument &document) {
-                                 configuration.applyDeclarations(document);
-                                 logEvent(Event::SnapshotApplied,
-                                          {{"declarations", std::to_string(configuration.declarationsVersion())}, {"source", "vm"}});
+                                 applyDeclarations(document, {.way = "vm"});
                                  publishConfiguration();
                              },
                          .departures = [this] { return configuration.departures(clock.now()); },
--- a/packages/fleet/src/link.cpp
+++ b/packages/fleet/src/link.cpp
@@ -94,6 +94,8 @@
         change.set_revision(it.document.revision);
         change.set_created(it.document.created);
         change.set_spec(formatJsonText(it.document.spec));
+        change.set_age_ms(toMs(it.age));
+        change.set_hops(it.hops);
     }
 }
 
@@ -155,7 +157,11 @@
         if (!parseJsonText(it.spec(), document.spec, parseError)) {
             return std::nullopt;
         }
-        changes.events.push_back({.isDeleted = it.is_deleted(), .document = std::move(document), .position = {it.era(), it.revision()}});
+        changes.events.push_back({.isDeleted = it.is_deleted(),
+                                  .document = std::move(document),
+                                  .position = {it.era(), it.revision()},
+                                  .age = milliseconds(it.age_ms()),
+                                  .hops = it.hops()});
     }
     return changes;
 }
--- a/packages/telemetry/include/pollenspoke/telemetry.h
+++ b/packages/telemetry/include/pollenspoke/telemetry.h
@@ -27,42 +27,52 @@
 
 /// Monotonic counters. Refusals and retries are counted separately, by reason.
 enum class Counter {
-    RequestsReceived,     // request headers received completely
-    AnswersWhole,         // target responses forwarded completely
-    AnswersCut,           // streamed responses aborted by closing the caller's connection, so that no partial body looks complete
-    Dispatches,           // attempts that wrote at least one byte to a target
-    ConnectionsOpened,    // new connections to targets
-    ConnectionsReused,    // dispatches on a pooled connection
-    ConnectionsDiscarded, // pooled connections dropped: closed by the target, unresponsive, or with unexpected bytes
-    CallersAccepted,      // accepted connections from callers
-    SnapshotsRefused,     // rejected configurations older than the one in force
-    ObjectsSkipped,       // stored objects skipped as invalid
-    StoreFailures,        // times the object store became unreachable
-    StoreCalls,           // calls to a store shared by Vms; a long-running watch counts once
+    RequestsReceived,      // request headers received completely
+    AnswersWhole,          // target responses forwarded completely
+    AnswersCut,            // streamed responses aborted by closing the caller's connection, so that no partial body looks complete
+    Dispatches,            // attempts that wrote at least one byte to a target
+    ConnectionsOpened,     // new connections to targets
+    ConnectionsReused,     // dispatches on a pooled connection
+    ConnectionsDiscarded,  // pooled connections dropped: closed by the target, unresponsive, or with unexpected bytes
+    CallersAccepted,       // accepted connections from callers
+    SnapshotsRefused,      // rejected configurations older than the one in force
+    ObjectsSkipped,        // stored objects skipped as invalid
+    StoreFailures,         // times the object store became unreachable
+    StoreCalls,            // calls to a store shared by Vms; a long-running watch counts once
+    FeedPolls,             // requests to other Vms for the store's changes
+    FeedPollsUnanswered,   // those without a reply in time
+    FeedRepliesLate,       // replies that arrived after that time
+    FeedRepliesOutdated,   // replies dropped in part, as this Vm had learned of changes in another way meanwhile
+    FeedRepliesNotCovered, // kinds of documents for which the source's log started too late
+    LeavingAnnouncements,  // target instances that said in an answer that they are leaving
+    PauseAnnouncements,    // answers with which a target asked for a pause, or for a longer one
+    DispatchesUnwanted,    // attempts that were written although the target had announced that it is leaving or pausing
 };
-inline constexpr std::size_t counterCount = static_cast<std::size_t>(Counter::StoreCalls) + 1;
+inline constexpr std::size_t counterCount = static_cast<std::size_t>(Counter::DispatchesUnwanted) + 1;
 
 /// Current values.
 enum class Gauge {
-    CallerConnections, // open connections from callers
-    RequestsInFlight,  // requests whose header has arrived and whose response isn't complete
-    PooledConnections, // idle connections to targets
-    SnapshotRevision,  // number of the configuration in force; counts up on this Vm
-    FollowedRevision,  // store revision up to which all declared changes are in force; goes back if the store is restored
-    StoreReachable,    // 1: the object store responded to the last call; 0: it didn't
-    StoreAgeMs,        // ms since the start of the last call that the object store responded to; -1: none yet
-    StoreEra,          // of the object store: rises when it was restored from an older copy; 0: unknown
+    CallerConnections,   // open connections from callers
+    RequestsInFlight,    // requests whose header has arrived and whose response isn't complete
+    PooledConnections,   // idle connections to targets
+    SnapshotRevision,    // number of the configuration in force; counts up on this Vm
+    FollowedRevision,    // store revision up to which all declared changes are in force; goes back if the store is restored
+    StoreReachable,      // 1: the object store responded to the last call; 0: it didn't
+    StoreAgeMs,          // ms since the start of the last call that the object store responded to; -1: none yet
+    StoreEra,            // of the object store: rises when it was restored from an older copy; 0: unknown
+    DeclarationsVersion, // operator's version of the declarations in force; 0: none, or the platform has no such version
 };
-inline constexpr std::size_t gaugeCount = static_cast<std::size_t>(Gauge::StoreEra) + 1;
+inline constexpr std::size_t gaugeCount = static_cast<std::size_t>(Gauge::DeclarationsVersion) + 1;
 
 /// Durations, recorded in histograms that cover 10 us to 100 s.
 enum class Timing {
-    Total,   // request header received to response sent
-    Added,   // proxy overhead: Total minus the time spent waiting for targets
-    Connect, // opening a connection to a target
-    Target,  // one attempt: request written to response received
+    Total,        // request header received to response sent
+    Added,        // proxy overhead: Total minus the time spent waiting for targets
+    Connect,      // opening a connection to a target
+    Target,       // one attempt: request written to response received
+    Declarations, // a change of the declarations: first Vm got it from the store to in force on this Vm, without transfers
 };
-inline constexpr std::size_t timingCount = static_cast<std::size_t>(Timing::Target) + 1;
+inline constexpr std::size_t timingCount = static_cast<std::size_t>(Timing::Declarations) + 1;
 
 /// All metrics of one process. Thread-safe.
 class Metrics
--- a/packages/telemetry/src/metrics.cpp
+++ b/packages/telemetry/src/metrics.cpp
@@ -38,6 +38,14 @@
     "objects_skipped",
     "store_failures",
     "store_calls",
+    "feed_polls",
+    "feed_polls_unanswered",
+    "feed_replies_late",
+    "feed_replies_outdated",
+    "feed_replies_not_covered",
+    "leaving_announcements",
+    "pause_announcements",
+    "dispatches_unwanted",
 };
 constexpr std::array<std::string_view, gaugeCount> gaugeNames{
     "caller_connections",
@@ -48,8 +56,9 @@
     "store_reachable",
     "store_age_ms",
     "store_era",
+    "declarations_version",
 };
-constexpr std::array<std::string_view, timingCount> timingNames{"total", "added", "connect", "target"};
+constexpr std::array<std::string_view, timingCount> timingNames{"total", "added", "connect", "target", "declarations"};
 constexpr std::array<std::string_view, 2> runStateNames{"not-run", "unknown"};
 
 template<typename Enum>
@@ -66,7 +75,8 @@
     std::array<std::array<std::atomic<std::uint64_t>, 2>, refusalReasonCount> refusals{};
     std::array<std::atomic<std::uint64_t>, retryReasonCount> retries{};
     std::array<std::atomic<std::int64_t>, gaugeCount> gauges{};
-    std::array<Histogram, timingCount> timings{makeTimingHistogram(), makeTimingHistogram(), makeTimingHistogram(), makeTimingHistogram()};
+    std::array<Histogram, timingCount> timings{
+        makeTimingHistogram(), makeTimingHistogram(), makeTimingHistogram(), makeTimingHistogram(), makeTimingHistogram()};
 };
 
 Metrics::Metrics()
