Proxy: reads what targets announce in their answers, and counts what reaches them nevertheless

Server-Leaving is a field of the wire contract; Retry-After of a 503 counts as seconds with a fraction, up to 10 minutes. A target has an incarnation (in resources: optional, in the users' platform: its start), so that an announcement can be told from that of an earlier process at the same address.

--- a/packages/policy/include/pollenspoke/policy.h
+++ b/packages/policy/include/pollenspoke/policy.h
@@ -730,6 +730,23 @@
     auto operator<=>(const TargetObservation &) const = default;
 };
 
+/// One run of a target's process at its address.
+struct TargetInstance
+{
+    TargetName name;
+    Address address;
+    std::uint64_t incarnation = 0; // as in Target
+    auto operator<=>(const TargetInstance &) const = default;
+};
+
+/// What a target said about itself in an answer.
+struct TargetAnnouncement
+{
+    bool isLeaving = false; // it wants no more requests
+    Duration pause{0};      // it wants no requests from this Vm for so long; 0: none
+    auto operator<=>(const TargetAnnouncement &) const = default;
+};
+
 /// Start of a pause, for logs.
 struct TargetPause
 {
@@ -768,6 +785,12 @@
     std::optional<TargetPause>
     end(const TargetName &target, AttemptEnd end, Duration latency, TimePoint startedAt, TimePoint now, const RouteName &route = {});
 
+    /// Records what an instance announced. A leaving one stays that until a later incarnation is listed. If incarnations are unknown,
+    /// it does so until the target is listed again after it was missing or listed as leaving. Of two pauses the later end counts.
+    /// Returns true if this is news.
+    bool announce(const TargetInstance &instance, const TargetAnnouncement &announcement, TimePoint now);
+    bool accepts(const TargetInstance &instance, TimePoint now) const; // false: it announced that it is leaving or pausing
+
     /// Counts a request for the service and whether this Vm refused it, for any reason. While many are refused, the service counts
     /// as overloaded: most of the avoided targets are used again, so that the others don't carry the whole load. Failed requests
     /// are not counted, since using targets that fail would produce more of them.
@@ -780,6 +803,13 @@
     bool hasServingTarget() const;
 
 private:
+    struct Announced
+    {
+        std::uint64_t incarnation = 0;
+        bool isLeaving = false;
+        TimePoint pausedUntil;
+        TimePoint notedAt;
+    };
     struct RemoteObservation
     {
         std::uint32_t inFlight = 0;
@@ -835,12 +865,15 @@
     void startPause(Member &member, TimePoint &until, TimePoint now);
     Duration maxDistrust() const;
 
+    void forgetAnnouncements(); // of instances that were followed by others
+
     BalancerOptions m_options;
     std::vector<Member> m_members;
-    double m_averageLatency = 0;                  // moving average over all targets, ns; 0: unknown
-    std::map<RouteName, double> m_routeLatencies; // the same per route
-    double m_requests = 0;                        // exponentially decayed count
-    double m_refused = 0;                         // those of m_requests that were refused
+    std::map<std::pair<TargetName, Address>, Announced> m_announced; // also of targets that aren't listed at present
+    double m_averageLatency = 0;                                     // moving average over all targets, ns; 0: unknown
+    std::map<RouteName, double> m_routeLatencies;                    // the same per route
+    double m_requests = 0;                                           // exponentially decayed count
+    double m_refused = 0;                                            // those of m_requests that were refused
     TimePoint m_countsDecayedAt;
 };
 
--- a/packages/policy/src/balancer.cpp
+++ b/packages/policy/src/balancer.cpp
@@ -15,6 +15,8 @@
 constexpr double scoreJitter = 1.5;       // largest random factor of a score; similar to the random latency differences of equal targets
 constexpr double overloadScoreJitter = 2; // the same under overload; spreads requests over all similar targets
 
+constexpr std::size_t maxAnnounced = 4096; // announcements kept; the oldest of unlisted targets are dropped first
+
 double movingAverage(double average, double value, double weight)
 {
     return average <= 0 ? value : average + weight * (value - average);
@@ -44,7 +46,8 @@
     members.reserve(targets.size());
     for (const Target &it : targets) {
         Member *existing = find(it.name);
-        Member member = existing != nullptr && existing->target.address == it.address ? std::move(*existing) : Member();
+        const bool isSame = existing != nullptr && existing->target.address == it.address && existing->target.incarnation == it.incarnation;
+        Member member = isSame ? std::move(*existing) : Member();
         if (member.target.name != it.name || member.target.warmupMs != it.warmupMs) {
             member.warmupUntil = now + std::chrono::milliseconds(it.warmupMs);
         }
@@ -52,6 +55,60 @@
         members.push_back(std::move(member));
     }
     m_members = std::move(members);
+    forgetAnnouncements();
+}
+
+void ServiceBalancer::forgetAnnouncements()
+{
+    const auto findListed = [this](const std::pair<TargetName, Address> &key) {
+        const Member *member = find(key.first);
+        return member != nullptr && member->target.address == key.second ? member : nullptr;
+    };
+    std::erase_if(m_announced, [&findListed](const auto &it) {
+        const Member *member = findListed(it.first);
+        if (it.second.incarnation == 0) {
+            return member == nullptr || member->target.state == TargetState::Leaving || member->target.incarnation != 0;
+        }
+        return member != nullptr && member->target.incarnation > it.second.incarnation;
+    });
+    while (m_announced.size() > maxAnnounced) {
+        const auto isDroppedFirst = [&findListed](const auto &left, const auto &right) {
+            return std::pair(findListed(left.first) != nullptr, left.second.notedAt)
+                < std::pair(findListed(right.first) != nullptr, right.second.notedAt);
+        };
+        m_announced.erase(std::min_element(m_announced.begin(), m_announced.end(), isDroppedFirst));
+    }
+}
+
+bool ServiceBalancer::announce(const TargetInstance &instance, const TargetAnnouncement &announcement, TimePoint now)
+{
+    if (announcement == TargetAnnouncement()) {
+        return false;
+    }
+    const auto [it, isNew] = m_announced.try_emplace({instance.name, instance.address}, Announced{.incarnation = instance.incarnation});
+    Announced &announced = it->second;
+    if (instance.incarnation < announced.incarnation) {
+        return false; // a late answer of an earlier instance
+    }
+    if (instance.incarnation > announced.incarnation) {
+        announced = {.incarnation = instance.incarnation};
+    }
+    const Announced previous = announced;
+    announced.isLeaving = announced.isLeaving || announcement.isLeaving;
+    if (announcement.pause > Duration(0)) {
+        announced.pausedUntil = std::max(announced.pausedUntil, now + announcement.pause);
+    }
+    announced.notedAt = now;
+    return announced.isLeaving != previous.isLeaving || announced.pausedUntil != previous.pausedUntil;
+}
+
+bool ServiceBalancer::accepts(const TargetInstance &instance, TimePoint now) const
+{
+    const auto it = m_announced.find({instance.name, instance.address});
+    if (it == m_announced.end() || it->second.incarnation < instance.incarnation) {
+        return true;
+    }
+    return !it->second.isLeaving && it->second.pausedUntil <= now;
 }
 
 void ServiceBalancer::applyObservations(const VmName &vm,
--- a/packages/proxy/include/pollenspoke/proxy.h
+++ b/packages/proxy/include/pollenspoke/proxy.h
@@ -47,6 +47,7 @@
     std::string keyHeader = "X-Api-Key";                    // API key, accepted besides Authorization; empty: disabled
     std::string instanceHeader;                             // to targets: name of the intended target; empty: not sent
     std::string requiredResponseHeader;                     // 2xx responses of targets without it are rejected; empty: no check
+    std::string leavingHeader = "Server-Leaving";           // "1" in any response: the target wants no more requests; empty: not read
     bool preservesRequestId = false;                        // forward the caller's request id; false: generate one per request
     bool acceptsChunkedRequests = false;                    // false: they are refused with 411
     bool hasFractionalRetryAfter = false;                   // Retry-After with milliseconds; false: whole seconds
--- /dev/null
+++ b/packages/proxy/src/announcement.cpp
@@ -0,0 +1,52 @@
+#include "announcement.h"
+
+#include <algorithm>
+#include <charconv>
+#include <cmath>
+
+namespace Pollenspoke {
+
+namespace {
+
+constexpr unsigned unavailableStatus = 503;
+constexpr std::string_view leavingValue = "1";
+
+std::string_view trim(std::string_view text)
+{
+    const std::size_t first = text.find_first_not_of(" \t");
+    return first == std::string_view::npos ? std::string_view() : text.substr(first, text.find_last_not_of(" \t") - first + 1);
+}
+
+} // namespace
+
+std::optional<Duration> parseRetryAfter(std::string_view text)
+{
+    const std::string_view digits = trim(text);
+    const bool isDecimal = !digits.empty() && digits.find_first_not_of("0123456789.") == std::string_view::npos;
+    double seconds = 0;
+    const auto [end, ec] = std::from_chars(digits.data(), digits.data() + digits.size(), seconds, std::chars_format::fixed);
+    const bool isHuge = ec == std::errc::result_out_of_range;
+    if (!isDecimal || end != digits.data() + digits.size() || (ec != std::errc() && !isHuge)) {
+        return std::nullopt;
+    }
+    const std::chrono::duration<double> wait(isHuge ? HUGE_VAL : seconds);
+    return wait >= maxRetryAfter ? maxRetryAfter : std::chrono::ceil<Duration>(wait);
+}
+
+TargetAnnouncement readAnnouncement(const http::response_header<> &header, const WireContract &contract)
+{
+    TargetAnnouncement announcement;
+    if (!contract.leavingHeader.empty()) {
+        const auto [begin, end] = header.equal_range(toBeast(contract.leavingHeader));
+        announcement.isLeaving = std::any_of(begin, end, [](const auto &it) { return trim(toView(it.value())) == leavingValue; });
+    }
+    if (header.result_int() == unavailableStatus) {
+        const auto [begin, end] = header.equal_range(http::field::retry_after);
+        std::for_each(begin, end, [&announcement](const auto &it) {
+            announcement.pause = std::max(announcement.pause, parseRetryAfter(toView(it.value())).value_or(Duration(0)));
+        });
+    }
+    return announcement;
+}
+
+} // namespace Pollenspoke
--- /dev/null
+++ b/packages/proxy/src/announcement.h
@@ -0,0 +1,19 @@
+/// @file
+/// What a target says about itself in the header block of a response.
+#pragma once
+
+#include "http.h"
+
+#include <pollenspoke/proxy.h>
+
+namespace Pollenspoke {
+
+/// Reads a Retry-After value in seconds, which may have a fraction. Anything else, such as a date, is ignored: the clocks of a target
+/// and a Vm may differ. Values above maxRetryAfter count as that.
+std::optional<Duration> parseRetryAfter(std::string_view text);
+inline constexpr Duration maxRetryAfter = std::chrono::minutes(10);
+
+/// Reads the announcements of one header block, informational or final. Of several Retry-After values the longest counts.
+TargetAnnouncement readAnnouncement(const http::response_header<> &header, const WireContract &contract);
+
+} // namespace Pollenspoke
--- a/packages/proxy/src/dispatcher.cpp
+++ b/packages/proxy/src/dispatcher.cpp
@@ -1,5 +1,6 @@
 #include "dispatcher.h"
 
+#include "announcement.h"
 #include "credentials.h"
 
 #include <algorithm>
@@ -36,7 +37,7 @@
 bool isServing(const Service &service, const TargetId &id)
 {
     return std::any_of(service.targets.begin(), service.targets.end(), [&id](const Target &it) {
-        return it.name == id.target && it.address == id.address && it.state == TargetState::Serving;
+        return it.name == id.target && it.address == id.address && it.incarnation == id.incarnation && it.state == TargetState::Serving;
     });
 }
 
@@ -129,7 +130,7 @@
     , m_dependencies(dependencies)
     , m_configuration(configuration)
     , m_stop(stop)
-    , m_targets(m_options, dependencies.clock)
+    , m_targets(m_options, dependencies.clock, dependencies.metrics)
     , m_pool(dependencies.metrics)
 {
 }
@@ -307,7 +308,7 @@
     }
     const auto target = co_await acquireSlot(request, progress, progress.tried, progress.reservation);
     if (target) {
-        progress.id = {resolved.serviceName, target->name, target->address};
+        progress.id = {resolved.serviceName, target->name, target->address, target->incarnation};
         co_return std::nullopt;
     }
     if (trace.mayHaveRun) {
@@ -422,6 +423,9 @@
     }
     ++progress.sendCount;
     m_dependencies.metrics.count(Counter::Dispatches);
+    if (!m_targets.accepts(attempt.id)) {
+        m_dependencies.metrics.count(Counter::DispatchesUnwanted);
+    }
     AttemptResult result;
     // Assigned through a reference, since operator|| would flatten the nested variants.
     const auto receiveInto = [&](AttemptResult &destination) -> net::awaitable<void> {
@@ -487,7 +491,7 @@
         const bool isOther = target && (target->name != attempt.id.target || request.resolved.service->targets.size() == 1);
         isReplaced = isOther && !reply.hasStarted() && reserveRetry(request, progress);
         if (isReplaced) {
-            progress.nextId = {request.resolved.serviceName, target->name, target->address};
+            progress.nextId = {request.resolved.serviceName, target->name, target->address, target->incarnation};
             progress.nextReservation = std::move(reservation);
         }
     } else {
@@ -503,7 +507,8 @@
     const DispatchRequest &request, const Attempt &attempt, TargetConnection &connection, Progress &progress, ReplyWriter &reply)
 {
     const bool isHead = request.message.method() == http::verb::head;
-    const std::optional<ReceiveError> receiveError = co_await connection.receiveHeader(isHead, request.deadline);
+    const auto visit = [&](const http::response_header<> &header) { noteAnnouncement(request, attempt, header); };
+    const std::optional<ReceiveError> receiveError = co_await connection.receiveHeader(isHead, request.deadline, visit);
     if (receiveError) {
         co_return makeFailure(*receiveError, attempt, connection);
     }
@@ -513,6 +518,14 @@
     co_return co_await receiveBody(request, attempt, connection, reply);
 }
 
+void Dispatcher::noteAnnouncement(const DispatchRequest &request, const Attempt &attempt, const http::response_header<> &header)
+{
+    const TargetAnnouncement announcement = readAnnouncement(header, m_options.wire);
+    if (announcement != TargetAnnouncement()) {
+        m_targets.announce(attempt.id, announcement, request.requestId);
+    }
+}
+
 Dispatcher::AttemptFailure Dispatcher::makeFailure(ReceiveError receiveError, const Attempt &attempt, const TargetConnection &connection)
 {
     const bool isPooledAndUnanswered = attempt.isPooled && !connection.hasReceivedBytes();
--- a/packages/proxy/src/dispatcher.h
+++ b/packages/proxy/src/dispatcher.h
@@ -134,6 +134,7 @@
     net::awaitable<AttemptResult>
     streamBody(const DispatchRequest &request, TargetConnection &connection, std::string part, ReplyWriter &reply);
 
+    void noteAnnouncement(const DispatchRequest &request, const Attempt &attempt, const http::response_header<> &header);
     AttemptFailure makeFailure(ReceiveError receiveError, const Attempt &attempt, const TargetConnection &connection);
     std::optional<AttemptFailure>
     checkResponse(const DispatchRequest &request, const Attempt &attempt, const TargetConnection &connection, Progress &progress);
--- a/packages/proxy/src/target_connection.cpp
+++ b/packages/proxy/src/target_connection.cpp
@@ -79,7 +79,7 @@
     return isHttpError && !endedEarly ? ReceiveError::Malformed : ReceiveError::ConnectionClosed;
 }
 
-net::awaitable<std::optional<ReceiveError>> TargetConnection::receiveHeader(bool isHead, TimePoint deadline)
+net::awaitable<std::optional<ReceiveError>> TargetConnection::receiveHeader(bool isHead, TimePoint deadline, HeaderVisitor visit)
 {
     m_stream.expires_at(deadline);
     for (int i = 0; i < maxInformationalResponses; ++i) {
@@ -92,6 +92,7 @@
         if (ec) {
             co_return toReceiveError(ec);
         }
+        visit(m_parser->get());
         const unsigned status = m_parser->get().result_int();
         if (status == 101) {
             co_return ReceiveError::Malformed;
--- a/packages/proxy/src/target_connection.h
+++ b/packages/proxy/src/target_connection.h
@@ -5,6 +5,7 @@
 #include "connection_pool.h"
 #include "http.h"
 
+#include <functional>
 #include <optional>
 #include <pollenspoke/proxy.h>
 
@@ -46,8 +47,11 @@
     /// before it has read the whole request.
     net::awaitable<void> sendRemaining(RequestSerializer &request, TimePoint deadline);
 
-    /// Receives the header block of the final response. Informational (1xx) responses are skipped.
-    net::awaitable<std::optional<ReceiveError>> receiveHeader(bool isHead, TimePoint deadline);
+    using HeaderVisitor = std::function<void(const http::response_header<> &)>;
+
+    /// Receives the header block of the final response. Informational (1xx) responses are skipped. Calls `visit` with each header
+    /// block, also those of informational responses.
+    net::awaitable<std::optional<ReceiveError>> receiveHeader(bool isHead, TimePoint deadline, HeaderVisitor visit);
 
     /// Appends up to `limit` bytes of the body to `part`. Repeat until isComplete().
     net::awaitable<std::optional<ReceiveError>> receivePart(std::string &part, std::size_t limit, TimePoint deadline);
--- a/packages/proxy/src/target_table.cpp
+++ b/packages/proxy/src/target_table.cpp
@@ -115,9 +115,10 @@
     std::shared_ptr<Waiter> m_waiter;
 };
 
-TargetTable::TargetTable(const ProxyOptions &options, const Clock &clock)
+TargetTable::TargetTable(const ProxyOptions &options, const Clock &clock, Metrics &metrics)
     : m_options(options)
     , m_clock(clock)
+    , m_metrics(metrics)
 {
 }
 
@@ -244,7 +245,8 @@
                                .isRetryable = request.isRetryable};
     std::optional<Target> target = entry.balancer.choose(choice, now, threadGenerator());
     if (target) {
-        reservation = TargetReservation(*this, TargetId{request.service, target->name, target->address}, request.route, now);
+        reservation
+            = TargetReservation(*this, TargetId{request.service, target->name, target->address, target->incarnation}, request.route, now);
     }
     return target;
 }
@@ -292,6 +294,38 @@
     }
 }
 
+void TargetTable::announce(const TargetId &id, const TargetAnnouncement &announcement, const std::string &requestId)
+{
+    bool isNews = false;
+    std::uint32_t inFlight = 0;
+    {
+        const std::lock_guard lock(m_mutex);
+        ServiceBalancer &balancer = entry(id.service).balancer;
+        isNews = balancer.announce(id.instance(), announcement, m_clock.now());
+        inFlight = balancer.inFlightAt(id.target);
+    }
+    if (!isNews) {
+        return;
+    }
+    m_metrics.count(announcement.isLeaving ? Counter::LeavingAnnouncements : Counter::PauseAnnouncements);
+    const auto pauseMs = std::chrono::duration_cast<std::chrono::milliseconds>(announcement.pause).count();
+    logRequestEvent(Event::TargetAnnounced,
+                    {{"service", id.service.value},
+                     {"target", id.target.value},
+                     {"incarnation", std::to_string(id.incarnation)},
+                     {"leaving", announcement.isLeaving ? "yes" : "no"},
+                     {"pause_ms", std::to_string(pauseMs)},
+                     {"request_id", requestId},
+                     {"in_flight", std::to_string(inFlight)}});
+}
+
+bool TargetTable::accepts(const TargetId &id) const
+{
+    const std::lock_guard lock(m_mutex);
+    const auto it = m_entries.find(id.service);
+    return it == m_entries.end() || it->second.balancer.accepts(id.instance(), m_clock.now());
+}
+
 void TargetTable::withInFlightCount(const TargetId &id, const std::function<void(std::uint32_t)> &visit) const
 {
     const std::lock_guard lock(m_mutex);
--- a/packages/proxy/src/target_table.h
+++ b/packages/proxy/src/target_table.h
@@ -19,7 +19,10 @@
     ServiceName service;
     TargetName target;
     Address address;
+    std::uint64_t incarnation = 0; // as in Target
     auto operator<=>(const TargetId &) const = default;
+
+    TargetInstance instance() const { return {.name = target, .address = address, .incarnation = incarnation}; }
 };
 
 class TargetTable;
@@ -65,7 +68,7 @@
 class TargetTable
 {
 public:
-    TargetTable(const ProxyOptions &options, const Clock &clock); // arguments must outlive it
+    TargetTable(const ProxyOptions &options, const Clock &clock, Metrics &metrics); // arguments must outlive it
 
     void applySnapshot(const Snapshot &snapshot);
     void applyTargetUpdates(const VmName &vm, const TargetUpdates &updates, bool isWhole);
@@ -76,6 +79,10 @@
     /// time.
     net::awaitable<tl::expected<Target, AcquireFailure>> acquire(const AcquireRequest &request, TargetReservation &reservation);
 
+    /// Records what the target said about itself in an answer to the request.
+    void announce(const TargetId &id, const TargetAnnouncement &announcement, const std::string &requestId);
+    bool accepts(const TargetId &id) const; // false: it announced that it is leaving or pausing
+
     void noteRequest(const ServiceName &service);                   // counts a request (not a retry) for the retry budget
     void recordOutcome(const ServiceName &service, bool isRefused); // records whether this Vm refused a request
     bool takeRetry(const ServiceName &service);                     // false: the retry budget is exhausted
@@ -116,6 +123,7 @@
 
     const ProxyOptions &m_options;
     const Clock &m_clock;
+    Metrics &m_metrics;
     mutable std::mutex m_mutex;
     std::map<ServiceName, Entry> m_entries;
     std::uint64_t m_lastSequence = 0;
--- a/packages/resources/include/pollenspoke/resources.h
+++ b/packages/resources/include/pollenspoke/resources.h
@@ -105,6 +105,7 @@
     std::uint32_t slots = 1;                  // maximum number of concurrent requests, 1 to 10000
     TargetState state = TargetState::Serving; // Leaving: no new requests
     std::uint32_t warmupMs = 0;               // expected duration of reduced speed from now on, ms, 0 to 3600000
+    std::uint64_t incarnation = 0;            // of its process: a later start has a higher one, such as its time; 0: unknown
     auto operator<=>(const Target &) const = default;
 };
 
--- a/packages/resources/src/decode.cpp
+++ b/packages/resources/src/decode.cpp
@@ -8,11 +8,12 @@
 
 namespace {
 
-constexpr double minAccountRate = 0.001;         // requests/s
-constexpr double maxRate = 1e6;                  // requests/s
-constexpr std::uint64_t maxBurst = 1000000;      // requests
-constexpr std::uint64_t maxDurationMs = 3600000; // ms
-constexpr std::uint64_t maxPriority = 1000;      // 0 is the most important
+constexpr double minAccountRate = 0.001;                   // requests/s
+constexpr double maxRate = 1e6;                            // requests/s
+constexpr std::uint64_t maxBurst = 1000000;                // requests
+constexpr std::uint64_t maxDurationMs = 3600000;           // ms
+constexpr std::uint64_t maxIncarnation = 9007199254740992; // 2^53: exact in JSON
+constexpr std::uint64_t maxPriority = 1000;                // 0 is the most important
 constexpr double maxSplitWeight = 1e6;
 constexpr std::uint64_t maxExactInteger = 9007199254740992; // 2^53: doubles represent every integer up to it exactly
 constexpr std::size_t maxNameLength = 128;
@@ -160,6 +161,7 @@
     target.slots = static_cast<std::uint32_t>(reader.readUnsigned("slots", 1, 10000, target.slots));
     target.state = static_cast<TargetState>(reader.readChoice("state", {"serving", "leaving"}, 0));
     target.warmupMs = static_cast<std::uint32_t>(reader.readUnsigned("warmup_ms", 0, maxDurationMs, 0));
+    target.incarnation = reader.readUnsigned("incarnation", 0, maxIncarnation, 0);
     outer.mergeError(reader.finish());
     return target;
 }
--- a/packages/resources/src/encode.cpp
+++ b/packages/resources/src/encode.cpp
@@ -88,6 +88,9 @@
     document.addNumber("slots", target.slots);
     document.add("state", target.state == TargetState::Serving ? "serving" : "leaving");
     document.addNumber("warmup_ms", target.warmupMs);
+    if (target.incarnation != 0) {
+        document.addNumber("incarnation", static_cast<double>(target.incarnation));
+    }
 }
 
 const char *connectionReuseName(ConnectionReuse reuse)
