Dispatcher: no request begins at a target that announced its leaving or asked for a pause

Callers saw requests fail that were sent to targets which had said in their answers that they were leaving; targets that had asked for a pause with Retry-After got a probe every 150 ms.

That a target leaves was believed from the store alone, so a VM cut from the store, or one without a seat that polls late, went on; a target that declined was paused for a fixed time.

The class is a decision that is taken when a request is dispatched and not looked at again when it is sent. So the announcement isn't one more input of the choice: ServiceBalancer keeps it by the target's name, address and incarnation, whatever is listed, and TargetTable::accepts() is asked at each place where work can begin: the choice, a reserved second attempt, a retry on the same target, the pool, and once more before the first byte is written. A leaving instance is never used again, a pause ends by time; both end with a later incarnation. Floors don't apply. Other VMs are told: one report makes them avoid the target, two pause it, within the floors.

If no target accepts requests in time, the caller is refused at once, as not run, with the time until one does.

--- a/packages/base/include/pollenspoke/base.h
+++ b/packages/base/include/pollenspoke/base.h
@@ -195,8 +195,9 @@
     AnswerMismatched, // idempotent requests only: response to another request
     NotRunAnswer,     // the service lists the response as "not run"
     ServerError,      // idempotent requests only: 502, 503 or 504
+    TargetClosed,     // no byte was written: the target had announced that it is leaving or pausing since it was chosen
 };
-inline constexpr std::size_t retryReasonCount = static_cast<std::size_t>(RetryReason::ServerError) + 1;
+inline constexpr std::size_t retryReasonCount = static_cast<std::size_t>(RetryReason::TargetClosed) + 1;
 
 std::string_view retryReasonName(RetryReason reason);
 
--- a/packages/base/src/reasons.cpp
+++ b/packages/base/src/reasons.cpp
@@ -83,6 +83,8 @@
         return "not_run_answer";
     case RetryReason::ServerError:
         return "server_error";
+    case RetryReason::TargetClosed:
+        return "target_closed";
     }
     return "unnamed";
 }
--- a/packages/fleet/src/link.cpp
+++ b/packages/fleet/src/link.cpp
@@ -49,6 +49,8 @@
             target.set_avoidance_ms(toMs(it.avoidance));
             target.set_failure_pause_ms(toMs(it.failurePause));
             target.set_unreachable_pause_ms(toMs(it.unreachablePause));
+            target.set_is_leaving(it.leavingIncarnation.has_value());
+            target.set_incarnation(it.leavingIncarnation.value_or(0));
         }
     }
 }
@@ -202,12 +204,14 @@
     for (const fleet::ServiceReport &service : status.services()) {
         std::vector<TargetObservation> &targets = targetReports[ServiceName{service.service()}];
         for (const fleet::TargetReport &it : service.targets()) {
-            targets.push_back(TargetObservation{.target = {it.target()},
-                                                .inFlight = it.in_flight(),
-                                                .failures = it.failures(),
-                                                .failurePause = milliseconds(it.failure_pause_ms()),
-                                                .avoidance = milliseconds(it.avoidance_ms()),
-                                                .unreachablePause = milliseconds(it.unreachable_pause_ms())});
+            targets.push_back(
+                TargetObservation{.target = {it.target()},
+                                  .inFlight = it.in_flight(),
+                                  .failures = it.failures(),
+                                  .failurePause = milliseconds(it.failure_pause_ms()),
+                                  .avoidance = milliseconds(it.avoidance_ms()),
+                                  .unreachablePause = milliseconds(it.unreachable_pause_ms()),
+                                  .leavingIncarnation = it.is_leaving() ? std::optional<std::uint64_t>(it.incarnation()) : std::nullopt});
         }
     }
     report.targetReports = std::move(targetReports);
--- a/packages/fleet/src/target_reports.cpp
+++ b/packages/fleet/src/target_reports.cpp
@@ -17,14 +17,16 @@
     return it == found->second.end() ? nullptr : &*it;
 }
 
-// Returns the targets whose in-flight or failure counts changed. Targets missing from the current reports count as zero.
+// Returns the targets whose in-flight or failure counts changed, or that announced their leaving. Targets missing from the current reports
+// count as zero.
 TargetUpdates changedReports(const TargetUpdates &previous, const TargetUpdates &current)
 {
     TargetUpdates changes;
     for (const auto &[service, targets] : current) {
         for (const TargetObservation &it : targets) {
             const TargetObservation *previousReport = findReport(previous, service, it.target);
-            if (previousReport == nullptr || previousReport->inFlight != it.inFlight || previousReport->failures != it.failures) {
+            if (previousReport == nullptr || previousReport->inFlight != it.inFlight || previousReport->failures != it.failures
+                || previousReport->leavingIncarnation != it.leavingIncarnation) {
                 changes[service].push_back(it);
             }
         }
--- a/packages/policy/include/pollenspoke/policy.h
+++ b/packages/policy/include/pollenspoke/policy.h
@@ -680,6 +680,9 @@
 //   last part of that time this applies only to requests that can't be retried, so that retryable requests test the target
 //   first. The Vm that observed the failure tries it before the other Vms do.
 // - Floors keep a minimum share of the serving targets in use, whatever their failures.
+// - Announcements of the target itself bind the Vm that received them, whatever the floors: no request begins at an instance that said
+//   that it is leaving, or before the end of a pause that it asked for. What other Vms report of its leaving is evidence like any
+//   other: one report makes this Vm avoid it, leavingQuorum of them pause it.
 
 /// How one attempt at a target ended.
 enum class AttemptEnd {
@@ -715,6 +718,7 @@
     double overloadShare = 0.05;              // refused share that means overload; the platform's limit is 0.1, including failures
     Duration refusalHalfLife = std::chrono::milliseconds(1500); // half-life of the request and refusal counts
     std::uint32_t unreachableQuorum = 2;                        // other Vms that must fail to reach a target before it is paused here
+    std::uint32_t leavingQuorum = 2;                            // other Vms that must report a target as leaving before it is paused here
     auto operator<=>(const BalancerOptions &) const = default;
 };
 
@@ -722,11 +726,12 @@
 struct TargetObservation
 {
     TargetName target;
-    std::uint32_t inFlight = 0;   // requests from that Vm in progress
-    std::uint32_t failures = 0;   // consecutive
-    Duration failurePause{0};     // remaining pause after failures
-    Duration avoidance{0};        // remaining time in which other Vms avoid it for requests that can't be retried
-    Duration unreachablePause{0}; // remaining pause as it is unreachable or silent, possibly by that Vm's fault
+    std::uint32_t inFlight = 0;                      // requests from that Vm in progress
+    std::uint32_t failures = 0;                      // consecutive
+    Duration failurePause{0};                        // remaining pause after failures
+    Duration avoidance{0};                           // remaining time in which other Vms avoid it for requests that can't be retried
+    Duration unreachablePause{0};                    // remaining pause as it is unreachable or silent, possibly by that Vm's fault
+    std::optional<std::uint64_t> leavingIncarnation; // the one that announced to that Vm that it is leaving; empty: none
     auto operator<=>(const TargetObservation &) const = default;
 };
 
@@ -790,6 +795,8 @@
     /// Returns true if this is news.
     bool announce(const TargetInstance &instance, const TargetAnnouncement &announcement, TimePoint now);
     bool accepts(const TargetInstance &instance, TimePoint now) const; // false: it announced that it is leaving or pausing
+    bool isListed(const TargetInstance &instance) const;
+    std::uint64_t withheldChoices() const { return m_withheldChoices; } // choices that left out a target because of its announcement
 
     /// Counts a request for the service and whether this Vm refused it, for any reason. While many are refused, the service counts
     /// as overloaded: most of the avoided targets are used again, so that the others don't carry the whole load. Failed requests
@@ -800,7 +807,7 @@
     std::uint32_t inFlightAt(const TargetName &target) const; // requests from this Vm
     std::uint32_t freeSlots(TimePoint now) const;             // of targets that are not paused
     std::uint32_t usableSlots(TimePoint now) const;           // the same, including occupied slots
-    bool hasServingTarget() const;
+    std::optional<TimePoint> opensAt(TimePoint now) const;    // when a target accepts requests, not before `now`; empty: none ever does
 
 private:
     struct Announced
@@ -816,6 +823,7 @@
         TimePoint failureUntil;
         TimePoint distrustUntil;
         TimePoint unreachableUntil;
+        std::optional<std::uint64_t> leavingIncarnation;
         TimePoint expiresAt;
     };
     struct Member
@@ -844,6 +852,7 @@
 
     const Member *find(const TargetName &name) const;
     Member *find(const TargetName &name);
+    bool isOpen(const Member &member, TimePoint now) const; // listed as serving, and it announced nothing else to this Vm
     std::uint32_t inFlight(const Member &member, TimePoint now) const;
     TimePoint pausedUntil(const Member &member, TimePoint now) const;
     bool isPossiblyStuck(const Member &member, TimePoint now) const;
@@ -853,7 +862,8 @@
     template<typename Until>
     TimePoint floorTime(std::uint32_t percent, TimePoint now, const Until &until) const;
     TimePoint pauseFloor(TimePoint now) const;
-    TimePoint avoidedUntil(const Member &member, const ChoiceRequest &request) const;
+    TimePoint avoidedUntil(const Member &member, const ChoiceRequest &request, TimePoint now) const;
+    TimePoint reportedLeavingUntil(const Member &member, std::uint32_t minReports, TimePoint now) const;
     TimePoint avoidanceFloor(const ChoiceRequest &request, TimePoint now) const;
     double decayFactor(TimePoint now) const;
     bool isOverloaded(TimePoint now) const;
@@ -875,6 +885,7 @@
     double m_requests = 0;                                           // exponentially decayed count
     double m_refused = 0;                                            // those of m_requests that were refused
     TimePoint m_countsDecayedAt;
+    std::uint64_t m_withheldChoices = 0;
 };
 
 //-----------------------------------------------------------------------------
--- a/packages/policy/src/balancer.cpp
+++ b/packages/policy/src/balancer.cpp
@@ -102,6 +102,12 @@
     return announced.isLeaving != previous.isLeaving || announced.pausedUntil != previous.pausedUntil;
 }
 
+bool ServiceBalancer::isListed(const TargetInstance &instance) const
+{
+    const Member *member = find(instance.name);
+    return member != nullptr && member->target.address == instance.address && member->target.incarnation == instance.incarnation;
+}
+
 bool ServiceBalancer::accepts(const TargetInstance &instance, TimePoint now) const
 {
     const auto it = m_announced.find({instance.name, instance.address});
@@ -131,6 +137,7 @@
                                                     .failureUntil = now + std::min(it.failurePause, m_options.longestPause),
                                                     .distrustUntil = now + std::min(it.avoidance, maxDistrust()),
                                                     .unreachableUntil = now + std::min(it.unreachablePause, m_options.longestPause),
+                                                    .leavingIncarnation = it.leavingIncarnation,
                                                     .expiresAt = now + m_options.observationTtl};
         }
     }
@@ -144,18 +151,28 @@
         const Duration distrustTime = m_options.retryableOnlyPeriod + m_options.observerLead;
         const Duration avoidance = it.failures == 0 ? Duration(0) : std::max(it.avoidUntil + distrustTime - now, Duration(0));
         const Duration unreachablePause = std::max(it.unreachableUntil - now, Duration(0));
-        if (!it.requestStarts.empty() || avoidance > Duration(0) || unreachablePause > Duration(0)) {
+        const auto announced = m_announced.find({it.target.name, it.target.address});
+        const bool isLeaving = announced != m_announced.end() && announced->second.isLeaving;
+        const auto leavingIncarnation = isLeaving ? std::optional(announced->second.incarnation) : std::nullopt;
+        if (!it.requestStarts.empty() || avoidance > Duration(0) || unreachablePause > Duration(0) || isLeaving) {
             observations.push_back(TargetObservation{.target = it.target.name,
                                                      .inFlight = static_cast<std::uint32_t>(it.requestStarts.size()),
                                                      .failures = it.failures,
                                                      .failurePause = failurePause,
                                                      .avoidance = avoidance,
-                                                     .unreachablePause = unreachablePause});
+                                                     .unreachablePause = unreachablePause,
+                                                     .leavingIncarnation = leavingIncarnation});
         }
     }
     return observations;
 }
 
+bool ServiceBalancer::isOpen(const Member &member, TimePoint now) const
+{
+    const Target &it = member.target;
+    return it.state == TargetState::Serving && accepts({.name = it.name, .address = it.address, .incarnation = it.incarnation}, now);
+}
+
 std::uint32_t ServiceBalancer::inFlight(const Member &member, TimePoint now) const
 {
     auto n = static_cast<std::uint32_t>(member.requestStarts.size());
@@ -165,11 +182,26 @@
     return n;
 }
 
+// Until when at least `minReports` other Vms report that this instance is leaving; in the past if they don't.
+TimePoint ServiceBalancer::reportedLeavingUntil(const Member &member, std::uint32_t minReports, TimePoint now) const
+{
+    std::uint32_t reports = 0;
+    TimePoint until;
+    for (const auto &[vm, remote] : member.remotes) {
+        if (remote.expiresAt > now && remote.leavingIncarnation && *remote.leavingIncarnation >= member.target.incarnation) {
+            ++reports;
+            until = std::max(until, remote.expiresAt);
+        }
+    }
+    return reports >= minReports ? until : TimePoint();
+}
+
 // End of the target's pause; in the past if it isn't paused. Reports of an unreachable target count only from
 // unreachableQuorum other Vms, since a single Vm's network path may be at fault.
 TimePoint ServiceBalancer::pausedUntil(const Member &member, TimePoint now) const
 {
-    TimePoint until = std::max({member.failureUntil, member.unreachableUntil, member.declinedUntil});
+    const TimePoint leavingUntil = reportedLeavingUntil(member, m_options.leavingQuorum, now);
+    TimePoint until = std::max({member.failureUntil, member.unreachableUntil, member.declinedUntil, leavingUntil});
     std::uint32_t unreachableReports = 0;
     TimePoint remoteUnreachableUntil;
     for (const auto &[vm, remote] : member.remotes) {
@@ -184,10 +216,11 @@
 
 // End of the time in which the target is used only if no other has capacity. It ends earlier for requests that can be retried, and
 // earlier on the Vm that observed the failure.
-TimePoint ServiceBalancer::avoidedUntil(const Member &member, const ChoiceRequest &request) const
+TimePoint ServiceBalancer::avoidedUntil(const Member &member, const ChoiceRequest &request, TimePoint now) const
 {
     const Duration extension = request.isRetryable ? Duration(0) : m_options.retryableOnlyPeriod;
     TimePoint until = member.failures > 0 ? member.avoidUntil + extension : TimePoint();
+    until = std::max(until, reportedLeavingUntil(member, 1, now));
     for (const auto &[vm, remote] : member.remotes) {
         until = std::max(until, remote.distrustUntil - m_options.retryableOnlyPeriod + extension);
     }
@@ -201,7 +234,7 @@
     std::vector<TimePoint> times;
     times.reserve(m_members.size());
     for (const Member &it : m_members) {
-        if (it.target.state == TargetState::Serving) {
+        if (isOpen(it, now)) {
             times.push_back(until(it));
         }
     }
@@ -222,7 +255,7 @@
 TimePoint ServiceBalancer::avoidanceFloor(const ChoiceRequest &request, TimePoint now) const
 {
     const std::uint32_t percent = isOverloaded(now) ? m_options.overloadFloorPercent : m_options.avoidanceFloorPercent;
-    return floorTime(percent, now, [this, &request](const Member &it) { return avoidedUntil(it, request); });
+    return floorTime(percent, now, [this, &request, now](const Member &it) { return avoidedUntil(it, request, now); });
 }
 
 // Factor by which the request counts have decayed since their last update.
@@ -300,11 +333,11 @@
     std::vector<Member *> untried;
     std::vector<Member *> alreadyTried;
     for (Member &it : m_members) {
-        const bool isAvailable = it.target.state == TargetState::Serving && pausedUntil(it, now) <= floors.paused;
+        const bool isAvailable = isOpen(it, now) && pausedUntil(it, now) <= floors.paused;
         if (!isAvailable || !hasCapacity(it, request, now)) {
             continue;
         }
-        if (!includesAvoided && (avoidedUntil(it, request) > floors.avoided || isPossiblyStuck(it, now))) {
+        if (!includesAvoided && (avoidedUntil(it, request, now) > floors.avoided || isPossiblyStuck(it, now))) {
             continue;
         }
         const bool isTried = std::find(request.tried.begin(), request.tried.end(), it.target.name) != request.tried.end();
@@ -315,6 +348,8 @@
 
 std::optional<Target> ServiceBalancer::choose(const ChoiceRequest &request, TimePoint now, Generator &generator)
 {
+    const auto isWithheld = [this, now](const Member &it) { return it.target.state == TargetState::Serving && !isOpen(it, now); };
+    m_withheldChoices += !m_announced.empty() && std::any_of(m_members.begin(), m_members.end(), isWithheld) ? 1 : 0;
     const Floors floors{.paused = pauseFloor(now), .avoided = avoidanceFloor(request, now)};
     std::vector<Member *> eligible = candidates(request, now, floors, false);
     if (eligible.empty()) {
@@ -449,7 +484,7 @@
     const TimePoint floorUntil = pauseFloor(now);
     std::uint32_t n = 0;
     for (const Member &it : m_members) {
-        if (it.target.state == TargetState::Serving && pausedUntil(it, now) <= floorUntil) {
+        if (isOpen(it, now) && pausedUntil(it, now) <= floorUntil) {
             const std::uint32_t slots = it.isHalfOpen ? halfOpenSlots : it.target.slots;
             n += includesOccupied ? slots : slots - std::min(slots, inFlight(it, now));
         }
@@ -467,9 +502,19 @@
     return sumSlots(now, false);
 }
 
-bool ServiceBalancer::hasServingTarget() const
+std::optional<TimePoint> ServiceBalancer::opensAt(TimePoint now) const
 {
-    return std::any_of(m_members.begin(), m_members.end(), [](const Member &it) { return it.target.state == TargetState::Serving; });
+    std::optional<TimePoint> earliest;
+    for (const Member &it : m_members) {
+        const auto announced = m_announced.find({it.target.name, it.target.address});
+        const bool isBound = announced != m_announced.end() && announced->second.incarnation >= it.target.incarnation;
+        if (it.target.state != TargetState::Serving || (isBound && announced->second.isLeaving)) {
+            continue;
+        }
+        const TimePoint opening = isBound ? std::max(announced->second.pausedUntil, now) : now;
+        earliest = std::min(earliest.value_or(opening), opening);
+    }
+    return earliest;
 }
 
 } // namespace Pollenspoke
--- a/packages/proxy/src/connection_pool.cpp
+++ b/packages/proxy/src/connection_pool.cpp
@@ -113,6 +113,16 @@
     return n;
 }
 
+void ConnectionPool::discardAll(const TargetId &id)
+{
+    const std::lock_guard lock(m_mutex);
+    const auto it = m_idle.find(id);
+    if (it != m_idle.end()) {
+        countDiscarded(it->second.size());
+        m_idle.erase(it);
+    }
+}
+
 void ConnectionPool::discardExpired(TimePoint now, Duration maxIdle)
 {
     const std::lock_guard lock(m_mutex);
--- a/packages/proxy/src/connection_pool.h
+++ b/packages/proxy/src/connection_pool.h
@@ -39,6 +39,7 @@
     void closeExcess(const TargetId &id, std::size_t limit);                               // closes the oldest connections above the limit
     Descriptor take(const TargetId &id, TimePoint now, Duration maxIdle);       // most recently used idle one; closes unusable ones
     std::size_t discardOlderThan(const TargetId &id, TimePoint lastResponseAt); // returns the number of connections closed
+    void discardAll(const TargetId &id);
     void discardExpired(TimePoint now, Duration maxIdle);
     void clear();
 
--- a/packages/proxy/src/dispatcher.cpp
+++ b/packages/proxy/src/dispatcher.cpp
@@ -72,6 +72,7 @@
     case RetryReason::ConnectFailed:
         return Refusal{.reason = RefusalReason::TargetUnreachable, .run = run};
     case RetryReason::NotRunAnswer:
+    case RetryReason::TargetClosed:
         return Refusal{.reason = RefusalReason::TargetDeclined, .run = run, .retryAfter = std::chrono::seconds(1)};
     case RetryReason::AttemptTimeout:
         return Refusal{.reason = RefusalReason::AnswerTimeout, .run = run};
@@ -237,7 +238,7 @@
     const bool isPastDeadline = m_dependencies.clock.now() >= request.deadline;
     Refusal refusal = refusalForFailure(progress.reason.value_or(RetryReason::ConnectFailed), trace.mayHaveRun, isPastDeadline);
     if (refusal.retryAfter) {
-        refusal.retryAfter = m_targets.drainTime(request.resolved.serviceName);
+        refusal.retryAfter = m_targets.retryAfter(request.resolved.serviceName);
     }
     return refusal;
 }
@@ -296,12 +297,12 @@
 Dispatcher::acquireTarget(const DispatchRequest &request, const DispatchTrace &trace, Progress &progress)
 {
     const ResolvedRequest &resolved = request.resolved;
-    if (progress.retriesSameTarget && resolved.serviceName == progress.id.service && isServing(*resolved.service, progress.id)) {
+    if (progress.retriesSameTarget && resolved.serviceName == progress.id.service && isUsable(*resolved.service, progress.id)) {
         co_return std::nullopt;
     }
     const TargetId nextId = std::exchange(progress.nextId, {});
     TargetReservation nextReservation = std::move(progress.nextReservation);
-    if (resolved.serviceName == nextId.service && isServing(*resolved.service, nextId)) {
+    if (resolved.serviceName == nextId.service && isUsable(*resolved.service, nextId)) {
         progress.id = nextId;
         progress.reservation = std::move(nextReservation);
         co_return std::nullopt;
@@ -311,12 +312,18 @@
         progress.id = {resolved.serviceName, target->name, target->address, target->incarnation};
         co_return std::nullopt;
     }
-    if (trace.mayHaveRun) {
+    const bool wasDeclined = target.error() == AcquireFailure::NoTarget && progress.reason == RetryReason::NotRunAnswer;
+    if (trace.mayHaveRun || wasDeclined) {
         co_return makeFinalRefusal(request, trace, progress);
     }
     const bool isQueueFull = target.error() == AcquireFailure::QueueFull;
-    const Duration retryAfter = isQueueFull ? m_targets.drainTime(resolved.serviceName) : std::chrono::seconds(1);
-    co_return Refusal{.reason = isQueueFull ? RefusalReason::QueueFull : RefusalReason::NoTarget, .retryAfter = retryAfter};
+    co_return Refusal{.reason = isQueueFull ? RefusalReason::QueueFull : RefusalReason::NoTarget,
+                      .retryAfter = m_targets.retryAfter(resolved.serviceName)};
+}
+
+bool Dispatcher::isUsable(const Service &service, const TargetId &id) const
+{
+    return isServing(service, id) && m_targets.accepts(id);
 }
 
 net::awaitable<tl::expected<Target, AcquireFailure>> Dispatcher::acquireSlot(const DispatchRequest &request,
@@ -362,7 +369,7 @@
     progress.tried.push_back(progress.id.target);
     if (failure.end == AttemptEnd::Unreachable) {
         ++progress.connectFailures;
-    } else {
+    } else if (failure.reason != RetryReason::TargetClosed) {
         ++progress.plan.attempt;
     }
 }
@@ -410,6 +417,11 @@
                                                                DispatchTrace &trace,
                                                                ReplyWriter &reply)
 {
+    // Checked last: the target may have announced its leaving, in another answer, while this attempt connected.
+    if (!m_targets.accepts(attempt.id)) {
+        m_dependencies.metrics.count(Counter::DispatchesWithheld);
+        co_return AttemptFailure{.reason = RetryReason::TargetClosed, .end = AttemptEnd::Abandoned};
+    }
     const TimePoint sentAt = m_dependencies.clock.now();
     const http::request<http::string_body> message = makeTargetRequest(request, attempt.id.target, m_options.wire, sentAt);
     RequestSerializer serializer(message);
@@ -423,9 +435,6 @@
     }
     ++progress.sendCount;
     m_dependencies.metrics.count(Counter::Dispatches);
-    if (!m_targets.accepts(attempt.id)) {
-        m_dependencies.metrics.count(Counter::DispatchesUnwanted);
-    }
     AttemptResult result;
     // Assigned through a reference, since operator|| would flatten the nested variants.
     const auto receiveInto = [&](AttemptResult &destination) -> net::awaitable<void> {
@@ -524,6 +533,9 @@
     if (announcement != TargetAnnouncement()) {
         m_targets.announce(attempt.id, announcement, request.requestId);
     }
+    if (announcement.isLeaving) {
+        m_pool.discardAll(attempt.id);
+    }
 }
 
 Dispatcher::AttemptFailure Dispatcher::makeFailure(ReceiveError receiveError, const Attempt &attempt, const TargetConnection &connection)
@@ -650,6 +662,9 @@
     if (!isAllowed || !connection.isReusable()) {
         return;
     }
+    if (!m_targets.accepts(attempt.id)) {
+        return;
+    }
     const std::uint32_t limit = connectionLimit(service);
     // Must be atomic with releasing the reservation. Otherwise this connection would be counted as both in flight and idle, and
     // another idle connection would be closed.
--- a/packages/proxy/src/dispatcher.h
+++ b/packages/proxy/src/dispatcher.h
@@ -107,6 +107,7 @@
     net::awaitable<std::optional<Refusal>> acquireTarget(const DispatchRequest &request, const DispatchTrace &trace, Progress &progress);
     net::awaitable<tl::expected<Target, AcquireFailure>>
     acquireSlot(const DispatchRequest &request, const Progress &progress, std::vector<TargetName> tried, TargetReservation &reservation);
+    bool isUsable(const Service &service, const TargetId &id) const; // listed as serving, and accepts requests
     bool reserveRetry(const DispatchRequest &request, Progress &progress);
     static bool exceedsAttempts(const Progress &progress);
     bool isStopTooClose(const DispatchRequest &request, const DispatchTrace &trace) const;
--- a/packages/proxy/src/target_table.cpp
+++ b/packages/proxy/src/target_table.cpp
@@ -7,7 +7,8 @@
 namespace {
 
 constexpr auto queuePollInterval = std::chrono::milliseconds(20); // waiters poll, as no event signals the end of a target's pause
-constexpr auto minDrainTime = std::chrono::milliseconds(100);
+constexpr auto minRetryAfter = std::chrono::milliseconds(100);
+constexpr auto noTargetRetryAfter = std::chrono::seconds(1); // the service has no target that can be expected to accept requests
 
 std::string_view causeName(AttemptEnd cause)
 {
@@ -209,14 +210,16 @@
     return it == m_entries.end() ? m_options.dispatch.balancer.firstLatency : it->second.balancer.usualLatency();
 }
 
-Duration TargetTable::drainTime(const ServiceName &service) const
+Duration TargetTable::retryAfter(const ServiceName &service) const
 {
     const std::lock_guard lock(m_mutex);
     const auto it = m_entries.find(service);
-    if (it == m_entries.end()) {
-        return minDrainTime;
+    const TimePoint now = m_clock.now();
+    const std::optional<TimePoint> opensAt = it == m_entries.end() ? std::nullopt : it->second.balancer.opensAt(now);
+    if (!opensAt) {
+        return noTargetRetryAfter;
     }
-    return std::max<Duration>(expectedWait(it->second, it->second.queue.size(), m_clock.now()), minDrainTime);
+    return std::max<Duration>({expectedWait(it->second, it->second.queue.size(), now), *opensAt - now, minRetryAfter});
 }
 
 Duration TargetTable::expectedWait(const Entry &entry, std::size_t waitersAhead, TimePoint now)
@@ -243,7 +246,11 @@
                                .overcommit = mayOvercommit ? std::max<std::uint32_t>(overcommitLimit, 1) : overcommitLimit,
                                .limit = request.limit,
                                .isRetryable = request.isRetryable};
+    const std::uint64_t withheldBefore = entry.balancer.withheldChoices();
     std::optional<Target> target = entry.balancer.choose(choice, now, threadGenerator());
+    if (target) {
+        m_metrics.count(Counter::DispatchesWithheld, entry.balancer.withheldChoices() - withheldBefore);
+    }
     if (target) {
         reservation
             = TargetReservation(*this, TargetId{request.service, target->name, target->address, target->incarnation}, request.route, now);
@@ -263,10 +270,11 @@
         {
             const std::lock_guard lock(m_mutex);
             Entry &it = entry(request.service);
-            if (!it.balancer.hasServingTarget()) {
+            maxWait = maxQueueTime(request.objective, request.deadline - requestedAt, it.balancer.usualLatency());
+            const std::optional<TimePoint> opensAt = it.balancer.opensAt(now);
+            if (!opensAt || *opensAt > std::max(requestedAt + maxWait, now)) {
                 co_return tl::unexpected(AcquireFailure::NoTarget);
             }
-            maxWait = maxQueueTime(request.objective, request.deadline - requestedAt, it.balancer.usualLatency());
             const bool isAtFront = queueEntry ? it.queue.begin()->first == queueEntry->key()
                                               : it.queue.empty() || request.priority < it.queue.begin()->first.first;
             const bool hasWaitedLong = queueEntry && now - requestedAt >= maxWait / 2;
@@ -344,7 +352,9 @@
         reservation.m_table = nullptr;
         const TimePoint now = m_clock.now();
         Entry &it = entry(reservation.m_id.service);
-        pause = it.balancer.end(reservation.m_id.target, end, latency, reservation.m_startedAt, now, reservation.m_route);
+        if (it.balancer.isListed(reservation.m_id.instance())) { // else the attempt says nothing about the present instance
+            pause = it.balancer.end(reservation.m_id.target, end, latency, reservation.m_startedAt, now, reservation.m_route);
+        }
         visitOtherRequests(it.balancer.inFlightAt(reservation.m_id.target));
         wakeWaiters(it, now);
     }
--- a/packages/proxy/src/target_table.h
+++ b/packages/proxy/src/target_table.h
@@ -49,7 +49,7 @@
 };
 
 enum class AcquireFailure {
-    NoTarget,  // the service has no serving target
+    NoTarget,  // the service has no target that accepts requests in time
     QueueFull, // the expected wait is too long, or no slot became free in time
 };
 
@@ -87,7 +87,7 @@
     void recordOutcome(const ServiceName &service, bool isRefused); // records whether this Vm refused a request
     bool takeRetry(const ServiceName &service);                     // false: the retry budget is exhausted
     Duration usualLatency(const ServiceName &service) const;
-    Duration drainTime(const ServiceName &service) const; // estimated time until the current queue is served
+    Duration retryAfter(const ServiceName &service) const; // estimated time until another request can be served
 
     /// Calls `visit` with the number of requests in flight at the target, with the table locked.
     void withInFlightCount(const TargetId &id, const std::function<void(std::uint32_t)> &visit) const;
--- a/packages/telemetry/src/metrics.cpp
+++ b/packages/telemetry/src/metrics.cpp
@@ -45,7 +45,7 @@
     "feed_replies_not_covered",
     "leaving_announcements",
     "pause_announcements",
-    "dispatches_unwanted",
+    "dispatches_withheld",
 };
 constexpr std::array<std::string_view, gaugeCount> gaugeNames{
     "caller_connections",
