Feed: large changes are compressed, sent once, and count whenever they arrive

Cause: a poll waits 150 ms. The declarations travel whole, once for each version that the receiver lacks, and a seat holder with 0.1 cores and 12 Mbit/s serves a dozen VMs at once; each formats and sends them anew. A reply that takes longer was dropped and asked for again, which filled the link further.

The class is a deadline that bounds how long something is waited for and is used to decide whether it counts.

--- a/packages/fleet/include/pollenspoke/fleet.h
+++ b/packages/fleet/include/pollenspoke/fleet.h
@@ -27,6 +27,8 @@
 // [1] Document store
 //-----------------------------------------------------------------------------
 
+struct PackedText; // private
+
 /// An object of the platform's store, with its content not yet decoded.
 struct StoredDocument
 {
@@ -34,6 +36,7 @@
     std::uint64_t revision = 0; // store revision of the last change
     std::uint64_t created = 0;  // store revision of the creation; 0: unknown
     JsonValue spec;
+    std::shared_ptr<const PackedText> packedSpec; // the same, if another Vm sent it compressed
 };
 
 struct DocumentList
--- a/packages/fleet/src/feed.cpp
+++ b/packages/fleet/src/feed.cpp
@@ -1,5 +1,7 @@
 #include "feed.h"
 
+#include "packed_text.h"
+
 #include <algorithm>
 
 namespace Pollenspoke {
@@ -32,6 +34,7 @@
     m_spans = {{.first = position, .last = position}};
     m_newestChange = position;
     m_changes.clear();
+    m_newest.clear();
     m_documents.clear();
     m_knowsAllDocuments = false;
 }
@@ -53,7 +56,15 @@
 void ChangeLog::append(const DocumentChange &change, TimePoint now)
 {
     const std::string spec = formatJsonText(change.document.spec);
-    m_changes.push_back({.change = change, .bytes = change.document.name.size() + spec.size(), .knownSince = now - change.age});
+    Entry entry{.change = change, .knownSince = now - change.age};
+    std::shared_ptr<const PackedText> &packedSpec = entry.change.document.packedSpec;
+    packedSpec = packedSpec ? packedSpec : packText(spec);
+    entry.bytes = change.document.name.size() + (packedSpec ? packedSpec->bytes.size() : spec.size());
+    const auto superseded = m_newest.find(change.document.name);
+    if (superseded != m_newest.end()) {
+        m_changes.erase(superseded->second);
+    }
+    m_newest[change.document.name] = m_changes.insert(m_changes.end(), std::move(entry));
     m_newestChange = std::max(m_newestChange, change.position);
     if (change.isDeleted) {
         m_documents.erase(change.document.name);
@@ -66,6 +77,7 @@
             m_spans.erase(m_spans.begin());
         }
         m_spans.front().first = std::max(m_spans.front().first, dropped);
+        m_newest.erase(m_changes.front().change.document.name);
         m_changes.pop_front();
     }
 }
@@ -296,9 +308,7 @@
             co_await pollOnce();
         }
         co_await requestHeldContent();
-        for (auto &[kind, it] : m_watches) {
-            wake(it); // also if this Vm became a store watcher
-        }
+        wakeWatches(); // also if this Vm became a store watcher
     }
 }
 
@@ -428,22 +438,27 @@
     if (!reply) {
         m_metrics.count(Counter::FeedPollsUnanswered);
         reportPollFailure(sourceName, "unanswered", m_clock.now() - sentAt);
-        m_expiredRequests.push_back({.id = request.id, .source = sourceName, .sentAt = sentAt});
+        m_expiredRequests.push_back({.id = request.id, .source = sourceName, .sentAt = sentAt, .cursors = request.cursors});
         if (m_expiredRequests.size() > maxExpiredRequests) {
             m_expiredRequests.pop_front();
         }
         co_return std::nullopt;
     }
-    // The changes continue the log as it was; a list of this Vm may have moved it meanwhile.
-    const std::size_t outdated = std::erase_if(reply->changes, [this, &request](const auto &it) {
-        const auto sent = request.cursors.find(it.first);
-        return sent == request.cursors.end() || sent->second != m_logs[it.first].cursor();
+    dropOutdatedChanges(*reply, request.cursors, sourceName, m_clock.now() - sentAt);
+    co_return reply;
+}
+
+// The changes continue the log as it was when the request was sent. Another reply or a list may have moved it since.
+void FeedStore::dropOutdatedChanges(FeedReply &reply, const Cursors &cursors, const VmName &source, Duration elapsed)
+{
+    const std::size_t n = std::erase_if(reply.changes, [this, &cursors](const auto &it) {
+        const auto sent = cursors.find(it.first);
+        return sent == cursors.end() || sent->second != m_logs[it.first].cursor();
     });
-    if (outdated > 0) {
+    if (n > 0) {
         m_metrics.count(Counter::FeedRepliesOutdated);
-        reportPollFailure(sourceName, "outdated", m_clock.now() - sentAt);
+        reportPollFailure(source, "outdated", elapsed);
     }
-    co_return reply;
 }
 
 void FeedStore::reportPollFailure(const VmName &source, std::string_view cause, Duration elapsed)
@@ -489,12 +504,33 @@
         it->second.timer.cancel();
         return;
     }
-    const auto late = std::find_if(
+    handleLateReply(reply);
+}
+
+// The timeout decides when another source is asked, not whether a reply counts: a large one takes its time on a narrow link.
+void FeedStore::handleLateReply(const FeedReply &reply)
+{
+    const auto it = std::find_if(
         m_expiredRequests.begin(), m_expiredRequests.end(), [&reply](const ExpiredRequest &it) { return it.id == reply.id; });
-    if (late != m_expiredRequests.end()) {
-        m_metrics.count(Counter::FeedRepliesLate);
-        reportPollFailure(late->source, "late", m_clock.now() - late->sentAt);
-        m_expiredRequests.erase(late);
+    if (it == m_expiredRequests.end()) {
+        return;
+    }
+    const ExpiredRequest request = std::move(*it);
+    m_expiredRequests.erase(it);
+    const Duration elapsed = m_clock.now() - request.sentAt;
+    m_metrics.count(Counter::FeedRepliesLate);
+    reportPollFailure(request.source, "late", elapsed);
+    FeedReply usable = reply;
+    dropOutdatedChanges(usable, request.cursors, request.source, elapsed);
+    applyReply(usable);
+    applyHeldContent(usable);
+    wakeWatches();
+}
+
+void FeedStore::wakeWatches()
+{
+    for (auto &[kind, it] : m_watches) {
+        wake(it);
     }
 }
 
--- a/packages/fleet/src/feed.h
+++ b/packages/fleet/src/feed.h
@@ -7,15 +7,16 @@
 #include "link.h"
 
 #include <deque>
+#include <list>
 
 namespace Pollenspoke {
 
-/// Recent changes of one kind of documents.
+/// Recent changes of one kind of documents: the newest one of each.
 class ChangeLog
 {
 public:
     static constexpr std::size_t maxChanges = 2000;       // the oldest changes are dropped
-    static constexpr std::size_t maxReplyBytes = 2000000; // documents in one reply; twice the store's largest document
+    static constexpr std::size_t maxReplyBytes = 2000000; // documents in one reply, as sent; twice the store's largest document
 
     void restartAt(StorePosition position); // empties the log; it covers changes after this position
     void add(const DocumentChanges &changes, TimePoint now = {});
@@ -58,9 +59,12 @@
 
     std::vector<Span> m_spans; // by era; empty: not started
     StorePosition m_newestChange;
-    bool m_knowsAllDocuments = false;                 // m_documents is complete, so that a list shows what was deleted
-    std::deque<Entry> m_changes;                      // by position
-    std::map<std::string, KnownDocument> m_documents; // that exist at the end of the log
+    bool m_knowsAllDocuments = false; // m_documents is complete, so that a list shows what was deleted
+    using Entries = std::list<Entry>;
+
+    Entries m_changes;                                 // by position
+    std::map<std::string, Entries::iterator> m_newest; // of m_changes, by document
+    std::map<std::string, KnownDocument> m_documents;  // that exist at the end of the log
 };
 
 /// Weighted count of consecutive failed requests to feed sources. At the limit the store is asked directly.
@@ -121,16 +125,19 @@
     TimePoint lastStoreContactAt() const { return m_lastStoreContactAt; } // when the store last answered this Vm or one of its sources
 
 private:
+    using Cursors = std::map<std::string, FeedCursor>; // by kind
+
     struct PendingRequest
     {
         boost::asio::steady_timer timer;
         std::optional<FeedReply> reply;
     };
-    struct ExpiredRequest // its reply didn't arrive in time
+    struct ExpiredRequest // its reply didn't arrive in time, but may still come
     {
         std::uint64_t id = 0;
         VmName source;
         TimePoint sentAt;
+        Cursors cursors;
     };
     struct Watch // one per followed kind
     {
@@ -150,6 +157,9 @@
     void applyHeldContent(const FeedReply &reply);
     boost::asio::awaitable<void> probe();
     void applyReply(const FeedReply &reply);
+    void dropOutdatedChanges(FeedReply &reply, const Cursors &cursors, const VmName &source, Duration elapsed);
+    void handleLateReply(const FeedReply &reply);
+    void wakeWatches();
     void recordAccess(bool succeeded, ErrorCode code);
     boost::asio::awaitable<std::optional<FeedReply>> requestChanges(const Member &source, bool includesCursors);
     void reportPollFailure(const VmName &source, std::string_view cause, Duration elapsed);
--- a/packages/fleet/src/link.cpp
+++ b/packages/fleet/src/link.cpp
@@ -1,6 +1,7 @@
 #include "link.h"
 
 #include "fleet.pb.h"
+#include "packed_text.h"
 
 #include <algorithm>
 #include <iterator>
@@ -83,6 +84,31 @@
     }
 }
 
+template<typename Message>
+void encodeSpec(Message &message, const StoredDocument &document)
+{
+    if (document.packedSpec) {
+        message.set_packed_spec(document.packedSpec->bytes);
+        message.set_packed_text_bytes(static_cast<std::uint32_t>(document.packedSpec->textBytes));
+    } else {
+        message.set_spec(formatJsonText(document.spec));
+    }
+}
+
+// Returns false if the spec can't be decompressed or parsed.
+template<typename Message>
+bool decodeSpec(const Message &message, StoredDocument &document)
+{
+    std::string parseError;
+    if (message.packed_spec().empty()) {
+        return parseJsonText(message.spec(), document.spec, parseError);
+    }
+    const auto packed = std::make_shared<PackedText>(PackedText{.bytes = message.packed_spec(), .textBytes = message.packed_text_bytes()});
+    const std::optional<std::string> text = unpackText(*packed);
+    document.packedSpec = packed;
+    return text && parseJsonText(*text, document.spec, parseError);
+}
+
 void encode(fleet::FeedKind &feedKind, const DocumentChanges &changes)
 {
     feedKind.set_is_covered(true);
@@ -95,7 +121,7 @@
         change.set_era(it.position.era());
         change.set_revision(it.document.revision);
         change.set_created(it.document.created);
-        change.set_spec(formatJsonText(it.document.spec));
+        encodeSpec(change, it.document);
         change.set_age_ms(toMs(it.age));
         change.set_hops(it.hops);
     }
@@ -123,7 +149,7 @@
         fleet::HeldDeclarations &declarations = *answer.mutable_declarations();
         declarations.set_name(reply.declarations->name);
         declarations.set_revision(reply.declarations->revision);
-        declarations.set_spec(formatJsonText(reply.declarations->spec));
+        encodeSpec(declarations, *reply.declarations);
     }
     answer.set_has_departures(reply.departures.has_value());
     for (const TargetDeparture &it : reply.departures.value_or(std::vector<TargetDeparture>())) {
@@ -155,8 +181,7 @@
     DocumentChanges changes{.position = {feedKind.era(), feedKind.revision()}};
     for (const fleet::FeedChange &it : feedKind.changes()) {
         StoredDocument document{.name = it.name(), .revision = it.revision(), .created = it.created()};
-        std::string parseError;
-        if (!parseJsonText(it.spec(), document.spec, parseError)) {
+        if (!decodeSpec(it, document)) {
             return std::nullopt;
         }
         changes.events.push_back({.isDeleted = it.is_deleted(),
@@ -178,8 +203,7 @@
         reply.overdue.push_back({.vm = {it.vm()}, .reportAge = milliseconds(it.report_age_ms()), .isLeaving = it.is_leaving()});
     }
     StoredDocument declarations{.name = answer.declarations().name(), .revision = answer.declarations().revision()};
-    std::string parseError;
-    if (answer.has_declarations() && parseJsonText(answer.declarations().spec(), declarations.spec, parseError)) {
+    if (answer.has_declarations() && decodeSpec(answer.declarations(), declarations)) {
         reply.declarations = std::move(declarations);
     }
     if (answer.has_departures()) {
