Feed: a silent source costs one time-out instead of a poll interval

Cause: a poll ended with the first source that didn't answer, and the next one chose at random again 600 ms later; after three such polls, more than 2.2 s, the store was asked.

Now a poll asks up to three different sources, also if one lacks a change or has lost the store; those that didn't answer are asked last for 3 s; three silent ones in one poll send the VM to the store, as three polls did; the interval counts from the start of a poll. Sources are chosen in proportion to their processors, as a reply costs a small VM more.

--- a/packages/fleet/src/feed.cpp
+++ b/packages/fleet/src/feed.cpp
@@ -14,8 +14,9 @@
 constexpr auto holderPollInterval = std::chrono::milliseconds(300); // of seat holders: their requests are subject to the changes
 constexpr auto plainPollInterval = std::chrono::milliseconds(600);  // of other Vms; two hops stay well below the platform's bounds
 constexpr auto replyTimeout = std::chrono::milliseconds(150);       // a round trip takes about 2 ms, a large configuration longer
-constexpr std::uint64_t anyDomainInterval = 3;                      // every third request may go to a source in any failure domain
-constexpr int maxSourcesPerPoll = 3;                                // if sources seem to have lost the store
+constexpr std::uint64_t anyDomainInterval = 3;                      // every third poll may go to a source in any failure domain
+constexpr std::size_t maxSourcesPerPoll = 3;                        // if sources are silent, lost the store or lack changes
+constexpr auto silenceMemory = std::chrono::seconds(3);             // a source that didn't answer is asked last for so long
 constexpr auto probeInterval = std::chrono::seconds(5);             // of the store by a seat holder without access to it
 constexpr auto startupGrace = std::chrono::milliseconds(2500);      // until the seat holders of a new fleet have found each other
 constexpr auto heldContentTimeout = std::chrono::seconds(10);       // with no Vm that answers, there is none that holds more
@@ -193,15 +194,31 @@
     return newest;
 }
 
-const Member *FeedStore::chooseSource()
+bool FeedStore::isSilent(const Member &source) const
 {
-    const bool prefersOwnDomain = ++m_requestCount % anyDomainInterval != 0;
-    const std::vector<const Member *> sources = m_members.feedSources(newestPosition(), prefersOwnDomain, m_clock.now());
-    if (sources.empty()) {
-        return nullptr;
+    return m_silentSources.contains(source.name);
+}
+
+// Returns nullptr if all sources were tried. Sources in the own domain come first, except in some polls, and silent ones last. Among equals
+// the choice is random, in proportion to their processors: a reply costs a small Vm more.
+const Member *FeedStore::chooseSource(const std::set<VmName> &tried)
+{
+    std::vector<const Member *> sources;
+    const bool prefersOwnDomain = m_pollCount % anyDomainInterval != 0;
+    for (const bool acceptsSilent : {false, true}) {
+        for (const bool isLocal : {prefersOwnDomain, false}) {
+            sources = m_members.feedSources(newestPosition(), isLocal, m_clock.now());
+            std::erase_if(sources, [&](const Member *it) { return tried.contains(it->name) || (!acceptsSilent && isSilent(*it)); });
+            if (!sources.empty()) {
+                std::vector<double> weights;
+                std::transform(sources.begin(), sources.end(), std::back_inserter(weights), [](const Member *it) {
+                    return std::max<double>(it->registration.millicores, 1);
+                });
+                return sources[std::discrete_distribution<std::size_t>(weights.begin(), weights.end())(m_generator)];
+            }
+        }
     }
-    std::uniform_int_distribution<std::size_t> pick(0, sources.size() - 1);
-    return sources[pick(m_generator)];
+    return nullptr;
 }
 
 DocumentStore::Call<DocumentList> FeedStore::list(std::string kind, ReadConsistency consistency)
@@ -300,10 +317,12 @@
 net::awaitable<void> FeedStore::poll()
 {
     net::steady_timer timer(m_context);
+    TimePoint startedAt = m_clock.now();
     for (;;) {
         const bool holdsSeat = m_members.isSeatHolder(m_members.self());
-        timer.expires_after(holdsSeat || isInStartupGrace() ? holderPollInterval : plainPollInterval);
+        timer.expires_at(startedAt + (holdsSeat || isInStartupGrace() ? holderPollInterval : plainPollInterval));
         co_await timer.async_wait(net::use_awaitable);
+        startedAt = m_clock.now();
         if (!isStoreWatcher()) {
             co_await pollOnce();
         }
@@ -314,27 +333,34 @@
 
 net::awaitable<void> FeedStore::pollOnce()
 {
-    bool hasReply = false;
-    bool isStale = true;
-    for (int i = 0; i < maxSourcesPerPoll && isStale; ++i) {
-        const Member *source = chooseSource();
-        std::optional<FeedReply> reply;
-        if (source != nullptr) {
-            reply = co_await requestChanges(*source, true);
+    ++m_pollCount;
+    std::erase_if(m_silentSources, [this](const auto &it) { return m_clock.now() - it.second >= silenceMemory; });
+    std::set<VmName> tried;
+    std::size_t silentCount = 0;
+    bool needsAnother = true;
+    while (needsAnother && tried.size() < maxSourcesPerPoll) {
+        const Member *source = chooseSource(tried);
+        if (source == nullptr) {
+            break;
         }
+        tried.insert(source->name);
+        const std::optional<FeedReply> reply = co_await requestChanges(*source, true);
         if (!reply) {
-            break;
+            ++silentCount;
+            continue;
         }
         applyReply(*reply);
         applyHeldContent(*reply);
-        hasReply = true;
-        isStale = reply->storeContactAge > staleSourceLimit;
+        const auto isUncovered = [](const auto &it) { return !it.second.has_value(); };
+        needsAnother = reply->storeContactAge > staleSourceLimit || std::any_of(reply->changes.begin(), reply->changes.end(), isUncovered);
     }
-    if (hasReply || isInStartupGrace()) {
+    if (silentCount < tried.size() || isInStartupGrace()) {
         co_return;
     }
     for (auto &[kind, it] : m_watches) {
-        it.failures.recordTimeout();
+        for (std::size_t i = 0; i < std::max<std::size_t>(silentCount, 1); ++i) { // also if there is no source
+            it.failures.recordTimeout();
+        }
     }
 }
 
@@ -438,12 +464,14 @@
     if (!reply) {
         m_metrics.count(Counter::FeedPollsUnanswered);
         reportPollFailure(sourceName, "unanswered", m_clock.now() - sentAt);
+        m_silentSources.insert_or_assign(sourceName, m_clock.now());
         m_expiredRequests.push_back({.id = request.id, .source = sourceName, .sentAt = sentAt, .cursors = request.cursors});
         if (m_expiredRequests.size() > maxExpiredRequests) {
             m_expiredRequests.pop_front();
         }
         co_return std::nullopt;
     }
+    m_silentSources.erase(sourceName);
     dropOutdatedChanges(*reply, request.cursors, sourceName, m_clock.now() - sentAt);
     co_return reply;
 }
--- a/packages/fleet/src/feed.h
+++ b/packages/fleet/src/feed.h
@@ -8,6 +8,7 @@
 
 #include <deque>
 #include <list>
+#include <set>
 
 namespace Pollenspoke {
 
@@ -77,7 +78,7 @@
     bool isLimitReached() const { return m_penalty >= limit; }
 
 private:
-    static constexpr int limit = 3; // one or two lost datagrams must not cause a call to the store
+    static constexpr int limit = 3; // one or two lost datagrams, or silent sources, must not cause a call to the store
 
     int m_penalty = 0;
 };
@@ -147,7 +148,8 @@
 
     bool isStoreWatcher() const;
     bool isInStartupGrace() const;
-    const Member *chooseSource();
+    const Member *chooseSource(const std::set<VmName> &tried);
+    bool isSilent(const Member &source) const;
     Call<DocumentChanges> watchStore(std::string kind, StorePosition since, Duration wait);
     boost::asio::awaitable<void> poll();
     boost::asio::awaitable<void> pollOnce();
@@ -176,7 +178,8 @@
     std::map<std::uint64_t, PendingRequest> m_pendingRequests;
     std::deque<ExpiredRequest> m_expiredRequests; // that may still be answered; oldest first
     std::uint64_t m_lastRequestId = 0;
-    std::uint64_t m_requestCount = 0;
+    std::uint64_t m_pollCount = 0;
+    std::map<VmName, TimePoint> m_silentSources; // when they last failed to answer in time, until they answer
     HeldContent m_heldContent;
     std::optional<TimePoint> m_askingSince;   // for what other Vms hold; empty: answered
     bool m_wasAnswered = false;               // since the start
