Dispatcher: an answer is given up for a retry only if a target accepts one

Found by proxy.target_answers after the last change: a 503 with Retry-After from the only target was dropped for a retry that no target accepted, and the caller got 502 in its place.

--- a/packages/proxy/src/dispatcher.cpp
+++ b/packages/proxy/src/dispatcher.cpp
@@ -580,7 +580,7 @@
     }
     const bool isLast = progress.plan.attempt >= progress.plan.maxAttempts;
     if (request.resolved.isIdempotent && !isLast && isRetriedStatus(header.result_int(), m_options.wire)
-        && reserveRetry(request, progress)) {
+        && m_targets.hasOpenTarget(request.resolved.serviceName) && reserveRetry(request, progress)) {
         return AttemptFailure{.reason = RetryReason::ServerError, .mayHaveRun = true};
     }
     return std::nullopt;
--- a/packages/proxy/src/target_table.cpp
+++ b/packages/proxy/src/target_table.cpp
@@ -334,6 +334,14 @@
     return it == m_entries.end() || it->second.balancer.accepts(id.instance(), m_clock.now());
 }
 
+bool TargetTable::hasOpenTarget(const ServiceName &service) const
+{
+    const std::lock_guard lock(m_mutex);
+    const auto it = m_entries.find(service);
+    const TimePoint now = m_clock.now();
+    return it != m_entries.end() && it->second.balancer.opensAt(now) == now;
+}
+
 void TargetTable::withInFlightCount(const TargetId &id, const std::function<void(std::uint32_t)> &visit) const
 {
     const std::lock_guard lock(m_mutex);
--- a/packages/proxy/src/target_table.h
+++ b/packages/proxy/src/target_table.h
@@ -83,6 +83,8 @@
     void announce(const TargetId &id, const TargetAnnouncement &announcement, const std::string &requestId);
     bool accepts(const TargetId &id) const; // false: it announced that it is leaving or pausing
 
+    bool hasOpenTarget(const ServiceName &service) const; // one that is listed as serving and announced nothing else
+
     void noteRequest(const ServiceName &service);                   // counts a request (not a retry) for the retry budget
     void recordOutcome(const ServiceName &service, bool isRefused); // records whether this Vm refused a request
     bool takeRetry(const ServiceName &service);                     // false: the retry budget is exhausted
