Feed: notices of changes, so that a change needs no poll interval and no single source

Callers were refused by an older version in the failure domain of a watcher that was cut from the store: it handed on what it had as if it were fresh, up to 2.3 s, and VMs of its domain poll it two times in three. Without any fault a change took up to 1.15 s and three transfers, so that two lost polls made it late.

The class is a belief that is confirmed by one source only. A VM that learns of a change now sends the position to those that poll it: store watchers to the other seat holders, each seat holder to its part of the VMs without a seat, two of them to each. A VM that is behind polls the sender at once; a store watcher does so at its next turn if the store hasn't told it by then, and a call to the store that isn't answered ends when the changes come in another way.

fleet.feed_fleet passes: its last case, a watcher cut from the store, failed before.

--- a/packages/fleet/src/feed.cpp
+++ b/packages/fleet/src/feed.cpp
@@ -3,12 +3,14 @@
 #include "packed_text.h"
 
 #include <algorithm>
+#include <boost/asio/experimental/awaitable_operators.hpp>
 
 namespace Pollenspoke {
 
 namespace {
 
 namespace net = boost::asio;
+using namespace net::experimental::awaitable_operators;
 
 constexpr auto asTuple = net::as_tuple(net::use_awaitable);
 constexpr auto holderPollInterval = std::chrono::milliseconds(300); // of seat holders: their requests are subject to the changes
@@ -17,6 +19,8 @@
 constexpr std::uint64_t anyDomainInterval = 3;                      // every third poll may go to a source in any failure domain
 constexpr std::size_t maxSourcesPerPoll = 3;                        // if sources are silent, lost the store or lack changes
 constexpr auto silenceMemory = std::chrono::seconds(3);             // a source that didn't answer is asked last for so long
+constexpr auto noticeInterval = std::chrono::milliseconds(100);     // at least, between the notices of one Vm
+constexpr std::uint32_t maxNoticeDelayMs = 60;                      // spreads the polls that one notice causes
 constexpr auto probeInterval = std::chrono::seconds(5);             // of the store by a seat holder without access to it
 constexpr auto startupGrace = std::chrono::milliseconds(2500);      // until the seat holders of a new fleet have found each other
 constexpr auto heldContentTimeout = std::chrono::seconds(10);       // with no Vm that answers, there is none that holds more
@@ -167,6 +171,8 @@
     , m_members(members)
     , m_clock(clock)
     , m_metrics(metrics)
+    , m_noticeTimer(context)
+    , m_pollTimer(context)
     , m_askingSince(clock.now())
     , m_generator(std::random_device{}())
     , m_startedAt(clock.now())
@@ -203,6 +209,12 @@
 // the choice is random, in proportion to their processors: a reply costs a small Vm more.
 const Member *FeedStore::chooseSource(const std::set<VmName> &tried)
 {
+    if (const Member *sender = m_noticeSender ? m_members.find(*m_noticeSender) : nullptr) {
+        m_noticeSender.reset();
+        if (!tried.contains(sender->name) && !m_members.isSelf(sender->name)) {
+            return sender;
+        }
+    }
     std::vector<const Member *> sources;
     const bool prefersOwnDomain = m_pollCount % anyDomainInterval != 0;
     for (const bool acceptsSilent : {false, true}) {
@@ -233,7 +245,9 @@
         co_return tl::unexpected(Error{.code = ErrorCode::Unavailable, .path = kind, .detail = "list of a store that was restored since"});
     }
     m_lastStoreContactAt = m_clock.now();
+    const StorePosition previous = m_logs[kind].cursor().newestChange;
     m_logs[kind].addList(*result, m_clock.now());
+    noteChange(kind, previous);
     co_return result;
 }
 
@@ -241,14 +255,50 @@
 {
     m_metrics.count(Counter::StoreCalls);
     Result<DocumentChanges> changes = co_await m_store.watch(kind, since, wait);
+    if ((co_await net::this_coro::cancellation_state).cancelled() != net::cancellation_type::none) {
+        co_return tl::unexpected(Error{.code = ErrorCode::Unavailable, .path = kind, .detail = "the changes came in another way"});
+    }
     recordAccess(changes.has_value(), changes ? ErrorCode() : changes.error().code);
     if (changes) {
         m_lastStoreContactAt = m_clock.now();
+        const StorePosition previous = m_logs[kind].cursor().newestChange;
         m_logs[kind].add(*changes, m_lastStoreContactAt);
+        noteChange(kind, previous);
     }
     co_return changes;
 }
 
+// Ends with the first of both: a store that is silent for this Vm must not hold up changes that other Vms have sent.
+DocumentStore::Call<DocumentChanges> FeedStore::watchStoreOrLog(std::string kind, FeedCursor cursor, Duration wait)
+{
+    net::awaitable<Result<DocumentChanges>> storeWatch = watchStore(kind, cursor.since, wait);
+    net::awaitable<DocumentChanges> logWait = waitForLog(kind, cursor);
+    std::variant<Result<DocumentChanges>, DocumentChanges> first = co_await (std::move(storeWatch) || std::move(logWait));
+    if (auto *changes = std::get_if<DocumentChanges>(&first)) {
+        co_return std::move(*changes);
+    }
+    co_return std::move(std::get<Result<DocumentChanges>>(first));
+}
+
+// Returns when the log has changes after the cursor.
+net::awaitable<DocumentChanges> FeedStore::waitForLog(std::string kind, FeedCursor cursor)
+{
+    net::steady_timer timer(m_context);
+    for (;;) {
+        std::optional<DocumentChanges> changes = m_logs[kind].since(cursor, m_clock.now());
+        if (changes && !changes->events.empty()) {
+            co_return std::move(*changes);
+        }
+        m_watches[kind].timer = &timer;
+        timer.expires_at(TimePoint::max());
+        co_await timer.async_wait(asTuple);
+        m_watches[kind].timer = nullptr;
+        if ((co_await net::this_coro::cancellation_state).cancelled() != net::cancellation_type::none) {
+            co_return DocumentChanges();
+        }
+    }
+}
+
 DocumentStore::Call<DocumentChanges> FeedStore::watch(std::string kind, StorePosition since, Duration wait)
 {
     ChangeLog &log = m_logs[kind];
@@ -275,8 +325,71 @@
         co_await timer.async_wait(asTuple);
         watch.timer = nullptr;
     }
+    if (std::optional<DocumentChanges> changes = log.since(cursor, m_clock.now()); changes && !changes->events.empty()) {
+        co_return std::move(*changes);
+    }
     const Duration timeout = isStoreWatcher() ? wait : std::min<Duration>(wait, directWatchTimeout);
-    co_return co_await watchStore(kind, since, timeout);
+    co_return co_await watchStoreOrLog(kind, cursor, timeout);
+}
+
+// Whether another Vm told of a change that this one lacks.
+bool FeedStore::isBehind() const
+{
+    return std::any_of(m_receivedNotices.begin(), m_receivedNotices.end(), [this](const auto &it) {
+        const auto log = m_logs.find(it.first);
+        return log != m_logs.end() && it.second > log->second.end();
+    });
+}
+
+void FeedStore::noteChange(const std::string &kind, const StorePosition &previous)
+{
+    const StorePosition newest = m_logs[kind].cursor().newestChange;
+    if (newest > previous) {
+        m_unsentNotices[kind] = newest;
+        m_noticeTimer.cancel();
+    }
+}
+
+net::awaitable<void> FeedStore::sendNotices()
+{
+    net::steady_timer pause(m_context);
+    for (;;) {
+        while (m_unsentNotices.empty()) {
+            m_noticeTimer.expires_at(TimePoint::max());
+            co_await m_noticeTimer.async_wait(asTuple);
+        }
+        const FeedNotice notice{.newestChanges = std::exchange(m_unsentNotices, {})};
+        const std::vector<const Member *> receivers = m_members.noticeReceivers(m_clock.now());
+        if (!receivers.empty()) {
+            const std::string bytes = encodeDatagram(m_members.self(), notice);
+            for (const Member *it : receivers) {
+                m_link.send(toDatagramEndpoint(it->registration.peers), bytes);
+            }
+        }
+        pause.expires_after(noticeInterval);
+        co_await pause.async_wait(asTuple);
+    }
+}
+
+// A store watcher gets most changes from the store itself in the next moment, so it polls only if it is still behind at its next turn.
+void FeedStore::handleNotice(const VmName &sender, const FeedNotice &notice)
+{
+    for (const auto &[kind, position] : notice.newestChanges) {
+        StorePosition &newest = m_receivedNotices[kind];
+        newest = std::max(newest, position);
+    }
+    if (!isBehind()) {
+        m_receivedNotices.clear();
+        return;
+    }
+    m_noticeSender = sender;
+    if (!isStoreWatcher()) {
+        std::uniform_int_distribution<std::uint32_t> delay(0, maxNoticeDelayMs);
+        const TimePoint pollAt = m_clock.now() + std::chrono::milliseconds(delay(m_generator));
+        if (pollAt < m_pollTimer.expiry()) {
+            m_pollTimer.expires_at(pollAt); // cancels the wait, which begins anew
+        }
+    }
 }
 
 void FeedStore::wake(Watch &watch)
@@ -295,6 +408,7 @@
 void FeedStore::startPolling()
 {
     net::co_spawn(m_context, poll(), net::detached);
+    net::co_spawn(m_context, sendNotices(), net::detached);
     net::co_spawn(m_context, probe(), net::detached);
 }
 
@@ -316,16 +430,21 @@
 
 net::awaitable<void> FeedStore::poll()
 {
-    net::steady_timer timer(m_context);
     TimePoint startedAt = m_clock.now();
     for (;;) {
         const bool holdsSeat = m_members.isSeatHolder(m_members.self());
-        timer.expires_at(startedAt + (holdsSeat || isInStartupGrace() ? holderPollInterval : plainPollInterval));
-        co_await timer.async_wait(net::use_awaitable);
+        m_pollTimer.expires_at(startedAt + (holdsSeat || isInStartupGrace() ? holderPollInterval : plainPollInterval));
+        while (m_clock.now() < m_pollTimer.expiry()) {
+            co_await m_pollTimer.async_wait(asTuple); // a notice may move the time
+        }
         startedAt = m_clock.now();
-        if (!isStoreWatcher()) {
+        if (!isStoreWatcher() || isBehind()) {
             co_await pollOnce();
         }
+        if (isBehind() && !isStoreWatcher()) {
+            co_await pollOnce(); // of a notice that arrived during the poll
+        }
+        m_receivedNotices.clear();
         co_await requestHeldContent();
         wakeWatches(); // also if this Vm became a store watcher
     }
@@ -433,8 +552,10 @@
             continue;
         }
         if (changes) {
+            const StorePosition previous = m_logs[kind].cursor().newestChange;
             watch->second.failures.recordChanges();
             m_logs[kind].add(*changes, now);
+            noteChange(kind, previous);
         } else {
             m_metrics.count(Counter::FeedRepliesNotCovered);
             watch->second.failures.recordNotCovered();
--- a/packages/fleet/src/feed.h
+++ b/packages/fleet/src/feed.h
@@ -1,7 +1,9 @@
 /// @file
 /// Distributes the store's changes within the fleet as a tree of bounded degree: a few seat holders watch the store, the other seat
 /// holders poll them, and the Vms without a seat poll the seat holders. Each Vm logs the changes it receives and passes them on. The
-/// number of calls to the store, which the platform charges for, thus doesn't grow with the fleet.
+/// number of calls to the store, which the platform charges for, thus doesn't grow with the fleet. A Vm that learns of a change sends
+/// a notice to those that poll it, which then poll at once: a change needs no poll interval on its way, and one source that has lost the
+/// store keeps nobody on an older version.
 #pragma once
 
 #include "link.h"
@@ -118,6 +120,7 @@
     void startPolling();
     FeedReply answerRequest(const FeedRequest &request) const;
     void handleReply(const FeedReply &reply);
+    void handleNotice(const VmName &sender, const FeedNotice &notice);
 
     void setHeldContent(HeldContent content) { m_heldContent = std::move(content); }
     void noteStoreRestored(); // asks another Vm for what it holds
@@ -151,6 +154,11 @@
     const Member *chooseSource(const std::set<VmName> &tried);
     bool isSilent(const Member &source) const;
     Call<DocumentChanges> watchStore(std::string kind, StorePosition since, Duration wait);
+    Call<DocumentChanges> watchStoreOrLog(std::string kind, FeedCursor cursor, Duration wait);
+    boost::asio::awaitable<DocumentChanges> waitForLog(std::string kind, FeedCursor cursor);
+    bool isBehind() const;
+    void noteChange(const std::string &kind, const StorePosition &previous);
+    boost::asio::awaitable<void> sendNotices();
     boost::asio::awaitable<void> poll();
     boost::asio::awaitable<void> pollOnce();
     bool needsHeldContent() const;
@@ -173,8 +181,13 @@
     Members &m_members;
     const Clock &m_clock;
     Metrics &m_metrics;
-    std::map<std::string, ChangeLog> m_logs; // by kind
-    std::map<std::string, Watch> m_watches;  // by kind
+    std::map<std::string, ChangeLog> m_logs;                // by kind
+    std::map<std::string, Watch> m_watches;                 // by kind
+    std::map<std::string, StorePosition> m_unsentNotices;   // newest changes, by kind
+    std::map<std::string, StorePosition> m_receivedNotices; // changes that this Vm may lack
+    std::optional<VmName> m_noticeSender;                   // of the last one
+    boost::asio::steady_timer m_noticeTimer;                // cancelled when there is a notice to send
+    boost::asio::steady_timer m_pollTimer;                  // cancelled when this Vm is behind
     std::map<std::uint64_t, PendingRequest> m_pendingRequests;
     std::deque<ExpiredRequest> m_expiredRequests; // that may still be answered; oldest first
     std::uint64_t m_lastRequestId = 0;
--- a/packages/fleet/src/fleet_vm.cpp
+++ b/packages/fleet/src/fleet_vm.cpp
@@ -647,6 +647,8 @@
         link.send(from, encodeDatagram(options.proxy.vm, feed.answerRequest(*feedRequest)));
     } else if (const auto *feedReply = std::get_if<FeedReply>(&message)) {
         feed.handleReply(*feedReply);
+    } else if (const auto *notice = std::get_if<FeedNotice>(&message)) {
+        feed.handleNotice(sender, *notice);
     }
 }
 
--- a/packages/fleet/src/link.cpp
+++ b/packages/fleet/src/link.cpp
@@ -160,6 +160,26 @@
     }
 }
 
+void encode(fleet::Datagram &datagram, const FeedNotice &notice)
+{
+    fleet::FeedNotice &message = *datagram.mutable_feed_notice();
+    for (const auto &[kind, position] : notice.newestChanges) {
+        fleet::FeedCursor &cursor = *message.add_newest();
+        cursor.set_kind(kind);
+        cursor.set_era(position.era());
+        cursor.set_since(position.revision());
+    }
+}
+
+FeedNotice decodeFeedNotice(const fleet::FeedNotice &message)
+{
+    FeedNotice notice;
+    for (const fleet::FeedCursor &it : message.newest()) {
+        notice.newestChanges[it.kind()] = {it.era(), it.since()};
+    }
+    return notice;
+}
+
 FeedRequest decodeFeedRequest(const fleet::FeedAsk &ask)
 {
     FeedRequest request{.id = ask.id(),
@@ -271,6 +291,8 @@
         return std::pair(sender, LinkMessage(decodeFeedRequest(datagram.feed_ask())));
     case fleet::Datagram::kFeedAnswer:
         return std::pair(sender, LinkMessage(decodeFeedReply(datagram.feed_answer())));
+    case fleet::Datagram::kFeedNotice:
+        return std::pair(sender, LinkMessage(decodeFeedNotice(datagram.feed_notice())));
     case fleet::Datagram::kFragment:
     case fleet::Datagram::BODY_NOT_SET:
         break;
--- a/packages/fleet/src/link.h
+++ b/packages/fleet/src/link.h
@@ -61,7 +61,13 @@
     std::optional<std::vector<TargetDeparture>> departures;        // if requested; empty: the sender doesn't know them
 };
 
-using LinkMessage = std::variant<StatusReport, TokenRequest, TokenReply, FeedRequest, FeedReply>;
+/// Tells other Vms that there are newer changes, so that they don't wait for their next poll.
+struct FeedNotice
+{
+    std::map<std::string, StorePosition> newestChanges; // by kind
+};
+
+using LinkMessage = std::variant<StatusReport, TokenRequest, TokenReply, FeedRequest, FeedReply, FeedNotice>;
 
 std::string encodeDatagram(const VmName &sender, const LinkMessage &message);
 std::optional<std::pair<VmName, LinkMessage>> decodeDatagram(std::string_view bytes); // empty: malformed, or a fragment
--- a/packages/fleet/src/members.cpp
+++ b/packages/fleet/src/members.cpp
@@ -244,6 +244,39 @@
     return holdsSeat ? receivers : std::vector<const Member *>();
 }
 
+std::vector<const Member *> Members::noticeReceivers(TimePoint now) const
+{
+    std::vector<const Member *> receivers;
+    if (!isSeatHolder(m_self)) {
+        return receivers;
+    }
+    const std::vector<VmName> watching = watchers(now);
+    if (std::find(watching.begin(), watching.end(), m_self) != watching.end()) {
+        receivers = reportReceivers();
+    }
+    const std::vector<VmName> live = liveSeatHolders(now);
+    std::map<FailureDomain, std::vector<VmName>> liveByDomain;
+    for (const VmName &it : live) {
+        liveByDomain[m_members.at(it).registration.failureDomain].push_back(it);
+    }
+    const std::set<VmName> seated(seatHolders().begin(), seatHolders().end());
+    std::size_t index = 0; // spreads the Vms over the seat holders; about the same on all of them
+    for (const auto &[name, it] : m_members) {
+        if (seated.contains(name)) {
+            continue;
+        }
+        ++index;
+        const auto local = liveByDomain.find(it.registration.failureDomain);
+        const std::vector<VmName> &servers = local == liveByDomain.end() ? live : local->second;
+        for (std::size_t i = 0; i < std::min(noticesPerVm, servers.size()); ++i) {
+            if (isSelf(servers[(index + i) % servers.size()])) {
+                receivers.push_back(&it);
+            }
+        }
+    }
+    return receivers;
+}
+
 std::vector<VmName> Members::watchers(TimePoint now) const
 {
     constexpr std::size_t maxWatchers = 4; // seat holders alternate over failure domains, so losing a domain leaves watchers in others
--- a/packages/fleet/src/members.h
+++ b/packages/fleet/src/members.h
@@ -81,6 +81,11 @@
     /// seat holders are live from the replies to their feed requests, so that messages per Vm don't grow with the fleet.
     std::vector<const Member *> reportReceivers() const;
 
+    /// Receivers of this Vm's notices of newer changes: the Vms without a seat that it serves, and the other seat holders if it watches
+    /// the store. Each Vm without a seat is served by noticesPerVm live seat holders, of its own domain if there are any.
+    std::vector<const Member *> noticeReceivers(TimePoint now) const;
+    static constexpr std::size_t noticesPerVm = 2; // one may be lost, or its sender may be behind
+
     /// Seat holders that watch the store directly: the first ones with access to it or, if nobody has it, those that try to regain it.
     std::vector<VmName> watchers(TimePoint now) const;
 
--- a/packages/fleet/tests/feed_fleet.cpp
+++ b/packages/fleet/tests/feed_fleet.cpp
@@ -166,6 +166,8 @@
         }
     } else if (const auto *reply = std::get_if<FeedReply>(&message)) {
         m_feed.handleReply(*reply);
+    } else if (const auto *notice = std::get_if<FeedNotice>(&message)) {
+        m_feed.handleNotice(sender, *notice);
     }
 }
 
--- a/packages/fleet/tests/test_members.cpp
+++ b/packages/fleet/tests/test_members.cpp
@@ -333,3 +333,49 @@
     BOOST_TEST(newer->name.value == "vm-30");
     BOOST_TEST(members.findNewerDeclarations(11, start + 4s) == nullptr); // silent
 }
+
+// Notices of changes go along the same tree as the polls. Each Vm without a seat must get them from two Vms, whatever the size of the
+// fleet, and no Vm may send many.
+BOOST_AUTO_TEST_CASE(each_vm_without_a_seat_is_sent_notices_by_two_seat_holders_of_its_domain)
+{
+    std::map<std::string, std::set<std::string>> senders; // by receiver
+    std::size_t mostReceivers = 0;
+    Members first = makeLargeFleet("vm-0");
+    const std::vector<VmName> holders = first.seatHolders();
+    const std::vector<VmName> watchers = first.watchers(start);
+    for (const VmName &holder : holders) {
+        Members members = makeLargeFleet(holder.value);
+        std::size_t n = 0;
+        for (const Member *it : members.noticeReceivers(start)) {
+            if (!members.isSeatHolder(it->name)) {
+                ++n;
+                senders[it->name.value].insert(holder.value);
+                BOOST_TEST((it->registration.failureDomain == members.find(holder)->registration.failureDomain));
+            }
+        }
+        mostReceivers = std::max(mostReceivers, n);
+    }
+    BOOST_TEST(senders.size() == largeFleetSize - holders.size());
+    for (const auto &[receiver, names] : senders) {
+        BOOST_TEST(names.size() == Members::noticesPerVm);
+    }
+    BOOST_TEST(mostReceivers <= 2 * Members::noticesPerVm * largeFleetSize / holders.size());
+}
+
+BOOST_AUTO_TEST_CASE(only_store_watchers_send_notices_to_the_other_seat_holders)
+{
+    const auto makeReported = [](const std::string &self) {
+        Members members = makeLargeFleet(self);
+        for (const VmName &it : members.seatHolders()) {
+            members.recordReport(it, false, 1h, {}, start);
+        }
+        return members;
+    };
+    Members watcher = makeReported("vm-0");
+    BOOST_REQUIRE(watcher.watchers(start).front().value == "vm-0");
+    BOOST_TEST(hasVm(watcher.noticeReceivers(start), "vm-17"));
+    Members holder = makeReported("vm-17");
+    BOOST_REQUIRE(holder.isSeatHolder({"vm-17"}));
+    BOOST_TEST(!hasVm(holder.noticeReceivers(start), "vm-0"));
+    BOOST_TEST(makeReported("vm-400").noticeReceivers(start).empty());
+}
