Targets: bytes without end in a chunk's header or a trailer are given up early

A target in trouble may send bytes that are no answer until its caller closes. In a chunk's size, its extension or a trailer the proxy read them until the request's deadline and kept them all: 4.8 MB in 3 s in a test that sends 16 KB a millisecond, and a VM of the users has 160 MB. The parser's limit for a header block doesn't hold there; now the read buffer has one. Heads, status lines, informational answers and header blocks without end were given up early before, and bodies without end are passed on until the deadline, without looking complete.

proxy.endless_answers failed in the four cases before and passes.

--- a/packages/proxy/src/target_connection.cpp
+++ b/packages/proxy/src/target_connection.cpp
@@ -5,13 +5,15 @@
 namespace {
 
 constexpr int maxInformationalResponses = 8;
-constexpr std::size_t minReadBytes = 4096; // first read of a body of unknown length; doubles with each read
+constexpr std::size_t maxReadAhead = 65536; // of a body; a chunk's header or a trailer may not be longer than this and a header block
+constexpr std::size_t minReadBytes = 4096;  // first read of a body of unknown length; doubles with each read
 
 } // namespace
 
 TargetConnection::TargetConnection(net::any_io_executor executor, const ConnectionOptions &options)
     : m_options(options)
     , m_stream(std::move(executor))
+    , m_buffer(options.answerHeaderBytes + maxReadAhead)
 {
 }
 
