Soak: targets announce their leaving and ask for pauses; checks of DRAIN and BUDGET

Draining targets say so in all their answers, overloaded ones send Retry-After. The ledger knows through which VM a request came, so that it finds one that reaches a target later than 2 s after that VM had passed on its announcement, and a third one in a pause that it had asked for; a restart or a suspension of the VM excuses it. soak.ledger shows that both are found.

--- a/soak/callers.cpp
+++ b/soak/callers.cpp
@@ -33,11 +33,13 @@
 
 struct Caller::Connection
 {
-    explicit Connection(net::any_io_executor executor)
-        : stream(executor)
+    Connection(net::any_io_executor executor, Address address)
+        : vm(std::move(address))
+        , stream(executor)
     {
     }
 
+    Address vm;
     beast::tcp_stream stream;
     beast::flat_buffer buffer;
     bool isUsable = true;
@@ -96,7 +98,7 @@
         co_return nullptr;
     }
     const std::size_t index = randomIndex(m_addresses.size());
-    auto connection = std::make_shared<Connection>(co_await net::this_coro::executor);
+    auto connection = std::make_shared<Connection>(co_await net::this_coro::executor, m_addresses[index]);
     connection->stream.expires_after(connectTimeout);
     const auto [ec] = co_await connection->stream.async_connect(toEndpoint(m_addresses[index]), asTuple);
     if (ec) {
@@ -123,6 +125,7 @@
                             .path = path,
                             .body = request.body(),
                             .service = isIdempotent ? "s-read" : "s-write",
+                            .vm = toString(connection.vm),
                             .isIdempotent = isIdempotent});
     connection.stream.expires_after(responseTimeout);
     ReceivedResponse received;
@@ -135,7 +138,8 @@
             received = {.status = response.result_int(),
                         .id = std::string(response["X-Request-Id"]),
                         .body = response.body(),
-                        .isSigned = response.count("X-Response-Signature") != 0};
+                        .isSigned = response.count("X-Response-Signature") != 0,
+                        .leavingInstance = response["Server-Leaving"] == "1" ? std::string(response["X-Instance-Id"]) : ""};
             connection.isUsable = response.keep_alive();
         }
     }
--- a/soak/ledger.cpp
+++ b/soak/ledger.cpp
@@ -13,6 +13,11 @@
 constexpr double quotaTolerance = 1.1; // factor
 constexpr double quotaAllowance = 20;  // requests
 
+// How long requests may still reach a target after it announced that it is leaving, or asked for a pause.
+constexpr auto drainTime = std::chrono::seconds(2);
+constexpr auto pauseSlack = std::chrono::milliseconds(500);
+constexpr std::size_t maxArrivalsInPause = 2;
+
 constexpr std::array<unsigned, 4> notExecutedStatuses{408, 421, 429, 503};
 
 bool isNotExecuted(unsigned status)
@@ -69,6 +74,10 @@
     Entry &entry = m_entries[id];
     entry.status = response.status;
     entry.isComplete = true;
+    if (!response.leavingInstance.empty()) {
+        std::optional<Clock::time_point> &since = m_announcements[{entry.request.vm, response.leavingInstance}].leavingSince;
+        since = since.value_or(Clock::now());
+    }
     if (isSuccess(response.status) && (!response.isSigned || response.id != id || response.body != expectedBody(id))) {
         m_violations.push_back("MIXED: request " + id + " got the response of another request or an unsigned one: " + response.id);
     }
@@ -77,6 +86,49 @@
     }
 }
 
+void Ledger::recordArrival(const std::string &id, const std::string &instance)
+{
+    const std::lock_guard lock(m_mutex);
+    const auto entry = m_entries.find(id);
+    if (entry == m_entries.end()) {
+        return; // recordExecution() reports it
+    }
+    const auto it = m_announcements.find({entry->second.request.vm, instance});
+    if (it == m_announcements.end()) {
+        return;
+    }
+    Announcement &announcement = it->second;
+    if (announcement.leavingSince && entry->second.sentAt > *announcement.leavingSince + drainTime) {
+        m_violations.push_back("DRAIN: request " + id + " reached " + instance + ", which had announced its leaving");
+    }
+    const Clock::time_point now = Clock::now();
+    if (now > announcement.pauseStart + pauseSlack && now < announcement.pauseEnd && ++announcement.arrivalsInPause > maxArrivalsInPause) {
+        m_violations.push_back("BUDGET: request " + id + " reached " + instance + ", which had asked for a pause");
+    }
+}
+
+void Ledger::recordPause(const std::string &id, const std::string &instance, Clock::duration pause)
+{
+    const std::lock_guard lock(m_mutex);
+    const auto entry = m_entries.find(id);
+    if (entry == m_entries.end()) {
+        return;
+    }
+    Announcement &announcement = m_announcements[{entry->second.request.vm, instance}];
+    const Clock::time_point now = Clock::now();
+    if (now >= announcement.pauseEnd) {
+        announcement.pauseStart = now;
+        announcement.arrivalsInPause = 0;
+    }
+    announcement.pauseEnd = std::max(announcement.pauseEnd, now + pause);
+}
+
+void Ledger::forgetAnnouncements(const std::string &vm)
+{
+    const std::lock_guard lock(m_mutex);
+    std::erase_if(m_announcements, [&vm](const auto &it) { return it.first.first == vm; });
+}
+
 std::vector<std::string> Ledger::violations(const std::map<std::string, AccountLimits> &limits) const
 {
     const std::lock_guard lock(m_mutex);
--- a/soak/ledger.h
+++ b/soak/ledger.h
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -18,6 +19,7 @@
     std::string path;
     std::string body;
     std::string service;      // every configuration routes the request to this service
+    std::string vm;           // that it was sent to
     bool isIdempotent = true; // false: must be executed at most once
 };
 
@@ -39,7 +41,8 @@
     unsigned status = 0; // 0: no complete response
     std::string id;
     std::string body;
-    bool isSigned = false; // the target's signature header is present
+    bool isSigned = false;       // the target's signature header is present
+    std::string leavingInstance; // the target instance that announced in it that it is leaving; empty: none did
 };
 
 struct AccountLimits
@@ -61,6 +64,13 @@
     void recordExecution(const Execution &execution);
     void recordResponse(const std::string &id, const ReceivedResponse &response);
 
+    /// A request reached a target instance, which may refuse it.
+    void recordArrival(const std::string &id, const std::string &instance);
+    /// An instance refused a request and wants none from that Vm for some time.
+    void recordPause(const std::string &id, const std::string &instance, Clock::duration pause);
+    /// The Vm was restarted or suspended: what targets told it before doesn't bind it.
+    void forgetAnnouncements(const std::string &vm);
+
     /// Violations so far, each starting with the name of the broken guarantee. Quotas are checked for the accounts in `limits`.
     std::vector<std::string> violations(const std::map<std::string, AccountLimits> &limits) const;
     std::string summary() const;
@@ -72,6 +82,13 @@
     std::vector<std::string> unansweredExecutionsSince(Clock::time_point since) const;
 
 private:
+    struct Announcement // of one instance to one Vm
+    {
+        std::optional<Clock::time_point> leavingSince;
+        Clock::time_point pauseStart;
+        Clock::time_point pauseEnd;
+        std::size_t arrivalsInPause = 0;
+    };
     struct Entry
     {
         SentRequest request;
@@ -83,6 +100,7 @@
 
     mutable std::mutex m_mutex;
     std::map<std::string, Entry> m_entries;
+    std::map<std::pair<std::string, std::string>, Announcement> m_announcements; // by Vm and instance
     std::vector<std::string> m_violations;
 };
 
--- a/soak/target.cpp
+++ b/soak/target.cpp
@@ -8,6 +8,7 @@
 
 constexpr auto serviceTime = milliseconds(8);
 constexpr auto slowServiceTime = serviceTime * 20;
+constexpr auto requestedPause = std::chrono::seconds(1); // by an overloaded target, with Retry-After
 constexpr const char *signature = "X-Response-Signature: s\r\n";
 
 std::string nextInstanceId()
@@ -84,6 +85,7 @@
     {
         const std::lock_guard lock(m_mutex);
         m_state.id = nextInstanceId();
+        m_state.registered = "ready";
         if (switchesService) {
             m_state.service = m_state.service == "s-read" ? "s-write" : "s-read";
         }
@@ -95,35 +97,41 @@
 {
     while (const std::optional<ReceivedRequest> request = peer.readRequest()) {
         const State current = state();
-        const std::string echoedId = "X-Request-Id: " + request->header("X-Request-Id") + "\r\n";
+        const std::string id = request->header("X-Request-Id");
+        std::string headers = "X-Request-Id: " + id + "\r\n";
+        if (current.registered == "draining") {
+            headers += "Server-Leaving: 1\r\nX-Instance-Id: " + current.id + "\r\n";
+        }
         if (request->header("X-Target-Instance") != current.id) {
-            peer.send(makeResponse("421 Misdirected", echoedId + "X-Not-Executed: instance\r\n", ""));
+            peer.send(makeResponse("421 Misdirected", headers + "X-Not-Executed: instance\r\n", ""));
             continue;
         }
+        m_ledger.recordArrival(id, current.id);
         if (current.mode == TargetMode::Overloaded) {
-            peer.send(makeResponse("503 Full", echoedId + "X-Not-Executed: full\r\n", ""));
+            m_ledger.recordPause(id, current.id, requestedPause);
+            peer.send(makeResponse(
+                "503 Full", headers + "X-Not-Executed: full\r\nRetry-After: " + std::to_string(requestedPause.count()) + "\r\n", ""));
             continue;
         }
-        m_ledger.recordExecution({.id = request->header("X-Request-Id"),
+        m_ledger.recordExecution({.id = id,
                                   .account = request->header("X-Tenant"),
                                   .method = request->method(),
                                   .path = pathOf(*request),
                                   .body = request->body,
                                   .service = current.service,
                                   .hasCallerKey = !request->header("Authorization").empty()});
-        if (!respond(peer, request->header("X-Request-Id"), current.mode)) {
+        if (!respond(peer, id, headers, current.mode)) {
             return;
         }
     }
 }
 
-bool SoakTarget::respond(AcceptedConnection &peer, const std::string &id, TargetMode mode)
+bool SoakTarget::respond(AcceptedConnection &peer, const std::string &id, const std::string &headers, TargetMode mode)
 {
-    const std::string echoedId = "X-Request-Id: " + id + "\r\n";
-    const std::string response = makeResponse("200 OK", echoedId + signature, Ledger::expectedBody(id));
+    const std::string response = makeResponse("200 OK", headers + signature, Ledger::expectedBody(id));
     switch (mode) {
     case TargetMode::Failing:
-        peer.send(makeResponse("500 Failed", echoedId + signature, "failed"));
+        peer.send(makeResponse("500 Failed", headers + signature, "failed"));
         return true;
     case TargetMode::Hanging:
         peer.readUntilClose();
--- a/soak/target.h
+++ b/soak/target.h
@@ -17,7 +17,7 @@
     Resetting,  // executes the request, then resets the connection
     Truncating, // executes the request, sends half of the response and closes
     ExtraBytes, // sends an unrequested second response after a complete one
-    Overloaded, // answers 503 with X-Not-Executed
+    Overloaded, // answers 503 with X-Not-Executed and Retry-After
 };
 
 class SoakTarget
@@ -27,7 +27,7 @@
 
     void setMode(TargetMode mode);
     void replaceInstance(bool switchesService); // registers a new instance at the same address, optionally for the other service
-    void setDraining();                         // registers as draining; requests are still executed
+    void setDraining();                         // registers as draining and says so in all answers; requests are still executed
     void registerAgain();                       // writes its registration once more
     std::string id() const { return state().id; }
     FaultLink &link() { return m_link; }
@@ -45,7 +45,10 @@
     State state() const;
     void registerInStore(const std::string &registeredState);
     void serve(AcceptedConnection &peer);
-    bool respond(AcceptedConnection &peer, const std::string &id, TargetMode mode); // false: the connection has ended
+    bool respond(AcceptedConnection &peer,
+                 const std::string &id,
+                 const std::string &headers,
+                 TargetMode mode); // false: the connection has ended
 
     FakeStore &m_store;
     Ledger &m_ledger;
--- a/soak/tests/test_ledger.cpp
+++ b/soak/tests/test_ledger.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
+#include <thread>
 
 using namespace Pollenspoke;
 
@@ -131,3 +132,41 @@
     BOOST_TEST(ledger.unansweredExecutionsSince(since).size() == 1U);
     BOOST_TEST(ledger.successRateSince(since) == 0.0);
 }
+
+BOOST_AUTO_TEST_CASE(a_request_to_a_target_that_announced_its_leaving_to_that_vm_is_a_violation)
+{
+    Ledger ledger;
+    const auto send = [&ledger](const std::string &id, const std::string &vm) {
+        ledger.recordRequest(id, {.account = "busy", .vm = vm});
+        ledger.recordArrival(id, "i-1");
+    };
+    send("r-1", "vm-1");
+    ledger.recordResponse("r-1", {.status = 404, .leavingInstance = "i-1"});
+    send("r-2", "vm-1"); // within the drain time
+    std::this_thread::sleep_for(std::chrono::milliseconds(2100));
+    send("r-3", "vm-2"); // another Vm, which hasn't been told
+    BOOST_TEST(ledger.violations({}).empty());
+    send("r-4", "vm-1");
+    BOOST_TEST(ledger.violations({}).size() == 1U);
+    ledger.forgetAnnouncements("vm-1");
+    send("r-5", "vm-1");
+    BOOST_TEST(ledger.violations({}).size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(a_third_request_during_a_pause_that_a_target_asked_for_is_a_violation)
+{
+    Ledger ledger;
+    const auto send = [&ledger](const std::string &id) {
+        ledger.recordRequest(id, {.account = "busy", .vm = "vm-1"});
+        ledger.recordArrival(id, "i-1");
+    };
+    send("r-1");
+    ledger.recordPause("r-1", "i-1", std::chrono::seconds(30));
+    send("r-2"); // may have been sent before the answer arrived
+    std::this_thread::sleep_for(std::chrono::milliseconds(600));
+    send("r-3");
+    send("r-4");
+    BOOST_TEST(ledger.violations({}).empty());
+    send("r-5");
+    BOOST_TEST(ledger.violations({}).size() == 1U);
+}
--- a/soak/world.cpp
+++ b/soak/world.cpp
@@ -213,9 +213,11 @@
 net::awaitable<void> SoakRun::restart(SoakVm &vm, int signal)
 {
     vm.hasProcessFault = true;
+    m_ledger.forgetAnnouncements(toString(vm.callerListener));
     vm.process->signal(signal);
     co_await sleepFor(signal == SIGTERM ? shutdownTime : randomMs(100, 1500));
-    vm.process.reset(); // sends SIGKILL if the process is still running
+    vm.process.reset();                                        // sends SIGKILL if the process is still running
+    m_ledger.forgetAnnouncements(toString(vm.callerListener)); // also of answers that it passed on while it stopped
     startVm(vm);
     co_await sleepFor(milliseconds(300));
     vm.hasProcessFault = false;
@@ -226,6 +228,7 @@
     vm.hasProcessFault = true;
     vm.process->signal(SIGSTOP);
     co_await sleepFor(randomMs(200, 3000));
+    m_ledger.forgetAnnouncements(toString(vm.callerListener));
     vm.process->signal(SIGCONT);
     vm.hasProcessFault = false;
 }
