Session: a chunk's header or trailer without end is refused early

The same cause as in the answers of targets: a caller could send a chunk's size, extension or trailer without end, which was read until the body's time-out of 30 s and kept. The read buffer is bounded, and the caller gets 400.

proxy.guards, a_chunk_header_or_trailer_without_end_is_refused_early, failed before (no answer within 20 s, three times) and passes.

--- a/packages/proxy/src/session.cpp
+++ b/packages/proxy/src/session.cpp
@@ -14,6 +14,7 @@
 
 constexpr std::size_t readChunkBytes = 2048;
 constexpr std::size_t maxPipelinedBytes = 65536; // read ahead while a request is being processed
+constexpr std::size_t maxReadAhead = 65536;      // of a body; a chunk's header or a trailer may not be much longer
 constexpr std::size_t requestIdBytes = 16;
 constexpr auto lingerTimeout = std::chrono::seconds(1); // for the caller to read the last response before the connection closes
 constexpr std::uint64_t maxDeadlineMs = 3600000;
@@ -144,6 +145,7 @@
 Session::Session(Tcp::socket socket, SessionContext shared)
     : m_shared(shared)
     , m_stream(std::move(socket))
+    , m_buffer(shared.options.front.headerBytes + maxPipelinedBytes + maxReadAhead)
     , m_abortTimer(m_stream.get_executor(), net::steady_timer::time_point::max())
 {
     SystemError ec;
@@ -429,7 +431,7 @@
     if (m_isAborted) {
         co_return makeStopRefusal();
     }
-    if (ec == http::error::body_limit) {
+    if (ec == http::error::body_limit || ec == http::error::buffer_overflow) {
         co_return refusalForParseError(ec, parser.get(), m_shared.options.wire);
     }
     if (ec) {
--- a/packages/proxy/tests/test_guards.cpp
+++ b/packages/proxy/tests/test_guards.cpp
@@ -429,3 +429,20 @@
     BOOST_REQUIRE(target.requests().size() == 1U);
     BOOST_TEST(response.header("Pollenspoke-Request-Id") == target.requests()[0].header("Pollenspoke-Request-Id"));
 }
+
+// As bytes without end in an answer: they were read until the body's time-out, 30 s, and kept.
+BOOST_AUTO_TEST_CASE(a_chunk_header_or_trailer_without_end_is_refused_early)
+{
+    RecordingTarget target;
+    ProxyOptions options;
+    options.wire.acceptsChunkedRequests = true;
+    ProxyFixture fixture({.targets = {target.address()}, .proxy = options});
+    for (const std::string start : {"", "5;", "5\r\nhello\r\n0\r\n"}) {
+        RawCaller caller(fixture.port());
+        caller.send(makeRequest("POST", "/work", "Transfer-Encoding: chunked\r\n") + start);
+        caller.sendUntilBlocked(std::string(1 << 20, start.empty() ? '0' : 'x'));
+        BOOST_TEST(caller.readResponse().status == 400U);
+        BOOST_TEST(caller.isClosedByProxy());
+    }
+    BOOST_TEST(target.requests().empty());
+}
