--- a/packages/fleet/src/configuration.cpp
+++ b/packages/fleet/src/configuration.cpp
@@ -132,6 +132,12 @@
     if (!m_declarations || (!m_declarationsChanged && targets == m_targets)) {
         return nullptr;
     }
+    if (m_snapshot && !m_declarationsChanged) {
+        logTargets(targets);
+        m_snapshot = m_snapshot->withTargets(targets, ++m_snapshotCount);
+        m_targets = std::move(targets);
+        return m_snapshot;
+    }
     std::vector<Object> objects = m_declarations->objects;
     for (Object &it : objects) {
         if (auto *service = std::get_if<Service>(&it.spec)) {
@@ -147,7 +153,8 @@
     logTargets(targets);
     m_targets = std::move(targets);
     m_declarationsChanged = false;
-    return *snapshot;
+    m_snapshot = *snapshot;
+    return m_snapshot;
 }
 
 } // namespace Pollenspoke
--- a/packages/fleet/src/configuration.h
+++ b/packages/fleet/src/configuration.h
@@ -39,6 +39,7 @@
     std::optional<Declarations> m_declarations;
     std::optional<StoredDocument> m_declarationsDocument;
     TargetRoster m_roster;
+    std::shared_ptr<const Snapshot> m_snapshot;           // the last one; null: none yet
     std::map<ServiceName, std::vector<Target>> m_targets; // in the last snapshot
     bool m_declarationsChanged = false;                   // since the last snapshot
     bool m_isStoreBehind = false;                         // no newer declarations since the store was restored
--- a/packages/fleet/tests/test_configuration.cpp
+++ b/packages/fleet/tests/test_configuration.cpp
@@ -202,3 +202,25 @@
     startedLater.applyDepartures(configuration.departures(start + 11s), start + 11s);
     BOOST_TEST(startedLater.roster().targets(start + 11s)[service].size() == 1U);
 }
+
+// Targets change several times a second while they are replaced; routes, keys and accounts must not be copied and checked each time. On the
+// smallest VMs that took the processor from requests.
+BOOST_FIXTURE_TEST_CASE(a_change_of_targets_leaves_the_declared_objects_where_they_are, Fixture)
+{
+    configuration.applyDeclarations(makeDeclarations(1));
+    configuration.applyTargetChange({.document = makeTarget("i-1", 1)}, start);
+    const std::shared_ptr<const Snapshot> first = configuration.buildSnapshotIfChanged(start);
+    BOOST_REQUIRE(first);
+    configuration.applyTargetChange({.document = makeTarget("i-2", 1)}, start);
+    const std::shared_ptr<const Snapshot> second = configuration.buildSnapshotIfChanged(start);
+    BOOST_REQUIRE(second);
+    BOOST_TEST(second->revision() > first->revision());
+    BOOST_TEST(first->findService(service)->targets.size() == 1U);
+    BOOST_TEST(second->findService(service)->targets.size() == 2U);
+    BOOST_TEST(first->findRoutes("stock.example", "/x").front().route == second->findRoutes("stock.example", "/x").front().route);
+    configuration.applyDeclarations(makeDeclarations(2));
+    const std::shared_ptr<const Snapshot> third = configuration.buildSnapshotIfChanged(start);
+    BOOST_REQUIRE(third);
+    BOOST_TEST(third->findService(service)->targets.size() == 2U);
+    BOOST_TEST(second->findRoutes("stock.example", "/x").front().route != third->findRoutes("stock.example", "/x").front().route);
+}
--- a/packages/resources/include/pollenspoke/resources.h
+++ b/packages/resources/include/pollenspoke/resources.h
@@ -255,6 +255,10 @@
 public:
     static Result<std::shared_ptr<const Snapshot>> build(const std::vector<Object> &objects, std::uint64_t revision);
 
+    /// The same configuration with other targets; services that aren't named have none. Shares everything else with this snapshot, so that
+    /// the cost doesn't depend on the number of routes, accounts and keys.
+    std::shared_ptr<const Snapshot> withTargets(const std::map<ServiceName, std::vector<Target>> &targets, std::uint64_t revision) const;
+
     std::uint64_t revision() const { return m_revision; }
     std::optional<KeyMatch> findKey(std::string_view sha256) const;
     const ClientAccount *findAccount(const AccountName &name) const;
@@ -262,18 +266,23 @@
     std::vector<RouteMatch> findRoutes(std::string_view host,
                                        std::string_view path) const; // of the longest matching prefix; several differ in methods
     const std::map<ServiceName, Service> &services() const { return m_services; }
-    const std::map<AccountName, ClientAccount> &accounts() const { return m_accounts; }
+    const std::map<AccountName, ClientAccount> &accounts() const { return m_declared->accounts; }
 
 private:
+    struct Declared // everything but the services
+    {
+        std::map<AccountName, ClientAccount> accounts;
+        std::map<RouteName, Route> routes;
+        std::map<KeyName, Key> keys;
+        std::unordered_map<std::string, KeyName> keysByHash;
+        std::unordered_map<std::string, std::vector<RouteName>> routesByPrefix; // by host + prefix; hosts contain no slash
+    };
+
     Snapshot() = default;
 
     std::uint64_t m_revision = 0;
-    std::map<AccountName, ClientAccount> m_accounts;
+    std::shared_ptr<const Declared> m_declared;
     std::map<ServiceName, Service> m_services;
-    std::map<RouteName, Route> m_routes;
-    std::map<KeyName, Key> m_keys;
-    std::unordered_map<std::string, KeyName> m_keysByHash;
-    std::unordered_map<std::string, std::vector<RouteName>> m_routesByPrefix; // by host + prefix; hosts contain no slash
 };
 
 //-----------------------------------------------------------------------------
--- a/packages/resources/src/snapshot.cpp
+++ b/packages/resources/src/snapshot.cpp
@@ -123,35 +123,51 @@
     }
     std::shared_ptr<Snapshot> snapshot(new Snapshot());
     snapshot->m_revision = revision;
+    const auto declared = std::make_shared<Declared>();
     for (const Object &it : objects) {
         if (const auto *account = std::get_if<ClientAccount>(&it.spec)) {
-            snapshot->m_accounts.emplace(AccountName{it.name}, *account);
+            declared->accounts.emplace(AccountName{it.name}, *account);
         } else if (const auto *service = std::get_if<Service>(&it.spec)) {
             snapshot->m_services.emplace(ServiceName{it.name}, *service);
         } else if (const auto *key = std::get_if<Key>(&it.spec)) {
-            snapshot->m_keys.emplace(KeyName{it.name}, *key);
-            snapshot->m_keysByHash.emplace(key->sha256, KeyName{it.name});
+            declared->keys.emplace(KeyName{it.name}, *key);
+            declared->keysByHash.emplace(key->sha256, KeyName{it.name});
         } else if (const auto *route = std::get_if<Route>(&it.spec)) {
-            snapshot->m_routes.emplace(RouteName{it.name}, *route);
-            snapshot->m_routesByPrefix[route->host + route->pathPrefix].push_back(RouteName{it.name});
+            declared->routes.emplace(RouteName{it.name}, *route);
+            declared->routesByPrefix[route->host + route->pathPrefix].push_back(RouteName{it.name});
         }
     }
+    snapshot->m_declared = declared;
     return std::shared_ptr<const Snapshot>(std::move(snapshot));
 }
 
+std::shared_ptr<const Snapshot> Snapshot::withTargets(const std::map<ServiceName, std::vector<Target>> &targets,
+                                                      std::uint64_t revision) const
+{
+    std::shared_ptr<Snapshot> snapshot(new Snapshot());
+    snapshot->m_revision = revision;
+    snapshot->m_declared = m_declared;
+    snapshot->m_services = m_services;
+    for (auto &[name, service] : snapshot->m_services) {
+        const auto it = targets.find(name);
+        service.targets = it == targets.end() ? std::vector<Target>() : it->second;
+    }
+    return snapshot;
+}
+
 std::optional<KeyMatch> Snapshot::findKey(std::string_view sha256) const
 {
-    const auto it = m_keysByHash.find(std::string(sha256));
-    if (it == m_keysByHash.end()) {
+    const auto it = m_declared->keysByHash.find(std::string(sha256));
+    if (it == m_declared->keysByHash.end()) {
         return std::nullopt;
     }
-    return KeyMatch{.name = it->second, .key = &m_keys.at(it->second)};
+    return KeyMatch{.name = it->second, .key = &m_declared->keys.at(it->second)};
 }
 
 const ClientAccount *Snapshot::findAccount(const AccountName &name) const
 {
-    const auto it = m_accounts.find(name);
-    return it == m_accounts.end() ? nullptr : &it->second;
+    const auto it = m_declared->accounts.find(name);
+    return it == m_declared->accounts.end() ? nullptr : &it->second;
 }
 
 const Service *Snapshot::findService(const ServiceName &name) const
@@ -164,13 +180,13 @@
 {
     for (std::string prefix(path); !prefix.empty(); prefix = shorterPrefix(prefix)) {
         for (const std::string_view it : {host, std::string_view()}) {
-            const auto entry = m_routesByPrefix.find(std::string(it) + prefix);
-            if (entry == m_routesByPrefix.end()) {
+            const auto entry = m_declared->routesByPrefix.find(std::string(it) + prefix);
+            if (entry == m_declared->routesByPrefix.end()) {
                 continue;
             }
             std::vector<RouteMatch> matches;
             for (const RouteName &name : entry->second) {
-                matches.push_back(RouteMatch{.name = name, .route = &m_routes.at(name)});
+                matches.push_back(RouteMatch{.name = name, .route = &m_declared->routes.at(name)});
             }
             return matches;
         }
