Dispatcher: a slow attempt is replaced only where a slot is free

At a service's only target, work that took longer than half of the request's time was given up and begun again there, so that callers got 504 twice and the target ran three requests instead of two (KNOWN-RED, proxy.only_target).

Cause: an attempt that waits long for a slot may exceed the target's slots, so that no request starves. The replacement of a slow attempt used that too: it was sent to a target whose slots were taken by the very work that it replaced. Now it needs a free slot; without one the attempt goes on. A silent target still gets its second attempt, on a free slot (a_retry_sends_the_deadline_remaining_at_that_time).

--- a/packages/proxy/src/dispatcher.cpp
+++ b/packages/proxy/src/dispatcher.cpp
@@ -307,7 +307,7 @@
         progress.reservation = std::move(nextReservation);
         co_return std::nullopt;
     }
-    const auto target = co_await acquireSlot(request, progress, progress.tried, progress.reservation);
+    const auto target = co_await acquireSlot(request, progress, progress.tried, true, progress.reservation);
     if (target) {
         progress.id = {resolved.serviceName, target->name, target->address, target->incarnation};
         co_return std::nullopt;
@@ -329,6 +329,7 @@
 net::awaitable<tl::expected<Target, AcquireFailure>> Dispatcher::acquireSlot(const DispatchRequest &request,
                                                                              const Progress &progress,
                                                                              std::vector<TargetName> tried,
+                                                                             bool mayOvercommit,
                                                                              TargetReservation &reservation)
 {
     const ResolvedRequest &resolved = request.resolved;
@@ -338,6 +339,7 @@
                                         .priority = resolved.effectivePriority(),
                                         .limit = connectionLimit(*resolved.service),
                                         .isRetryable = resolved.isIdempotent && progress.plan.attempt < progress.plan.maxAttempts,
+                                        .mayOvercommit = mayOvercommit,
                                         .objective = milliseconds(resolved.route->objectiveMs),
                                         .deadline = request.deadline};
     co_return co_await m_targets.acquire(acquireRequest, reservation);
@@ -496,7 +498,8 @@
         std::vector<TargetName> tried = progress.tried;
         tried.push_back(attempt.id.target);
         TargetReservation reservation;
-        const auto target = co_await acquireSlot(request, progress, std::move(tried), reservation);
+        // Only a free slot: at a full target, which may be this one, another attempt would wait behind the work that it replaces.
+        const auto target = co_await acquireSlot(request, progress, std::move(tried), false, reservation);
         const bool isOther = target && (target->name != attempt.id.target || request.resolved.service->targets.size() == 1);
         isReplaced = isOther && !reply.hasStarted() && reserveRetry(request, progress);
         if (isReplaced) {
--- a/packages/proxy/src/dispatcher.h
+++ b/packages/proxy/src/dispatcher.h
@@ -105,8 +105,11 @@
 
     std::optional<Refusal> resolveForRetry(DispatchRequest &request, const DispatchTrace &trace, Progress &progress) const;
     net::awaitable<std::optional<Refusal>> acquireTarget(const DispatchRequest &request, const DispatchTrace &trace, Progress &progress);
-    net::awaitable<tl::expected<Target, AcquireFailure>>
-    acquireSlot(const DispatchRequest &request, const Progress &progress, std::vector<TargetName> tried, TargetReservation &reservation);
+    net::awaitable<tl::expected<Target, AcquireFailure>> acquireSlot(const DispatchRequest &request,
+                                                                     const Progress &progress,
+                                                                     std::vector<TargetName> tried,
+                                                                     bool mayOvercommit,
+                                                                     TargetReservation &reservation);
     bool isUsable(const Service &service, const TargetId &id) const; // listed as serving, and accepts requests
     bool reserveRetry(const DispatchRequest &request, Progress &progress);
     static bool exceedsAttempts(const Progress &progress);
--- a/packages/proxy/src/target_table.cpp
+++ b/packages/proxy/src/target_table.cpp
@@ -279,7 +279,7 @@
                                               : it.queue.empty() || request.priority < it.queue.begin()->first.first;
             const bool hasWaitedLong = queueEntry && now - requestedAt >= maxWait / 2;
             if (isAtFront || hasWaitedLong) {
-                if (std::optional<Target> target = tryReserve(it, request, hasWaitedLong, reservation)) {
+                if (std::optional<Target> target = tryReserve(it, request, hasWaitedLong && request.mayOvercommit, reservation)) {
                     co_return std::move(*target);
                 }
             }
--- a/packages/proxy/src/target_table.h
+++ b/packages/proxy/src/target_table.h
@@ -61,6 +61,7 @@
     std::uint32_t priority = 0; // queue order, 0 first
     std::uint32_t limit = 1;    // connections from this Vm to one target
     bool isRetryable = true;    // may be retried after a failure
+    bool mayOvercommit = true;  // after a long wait, a target may hold one more than its slots and queue
     Duration objective{};       // latency objective of the route
     TimePoint deadline;         // of the request
 };
