--- a/packages/fleet/tests/test_members.cpp
+++ b/packages/fleet/tests/test_members.cpp
@@ -341,7 +341,7 @@
     std::map<std::string, std::set<std::string>> senders; // by receiver
     std::size_t mostReceivers = 0;
     Members first = makeLargeFleet("vm-0");
-    const std::vector<VmName> holders = first.seatHolders();
+    const std::vector<VmName> &holders = first.seatHolders();
     const std::vector<VmName> watchers = first.watchers(start);
     for (const VmName &holder : holders) {
         Members members = makeLargeFleet(holder.value);
