Feed: replies take large specs in their compressed form only

A seat holder copied the parsed declarations into the reply to each VM that asked, though it sends the compressed ones: a thousand routes are some ten thousand JSON values. Tests of fleet.feed show what replies hold and that damaged ones are refused.

--- a/packages/fleet/src/feed.cpp
+++ b/packages/fleet/src/feed.cpp
@@ -144,7 +144,7 @@
     return cursor.since <= span->last || (cursor.since < end() && cursor.newestChange <= span->last);
 }
 
-std::optional<DocumentChanges> ChangeLog::since(const FeedCursor &cursor, TimePoint now) const
+std::optional<DocumentChanges> ChangeLog::since(const FeedCursor &cursor, TimePoint now, SpecForm form) const
 {
     if (!m_spans.empty() && cursor.since > end()) {
         return DocumentChanges{.position = end()}; // the receiver is ahead of this Vm
@@ -158,8 +158,17 @@
     std::size_t bytes = 0;
     for (auto it = first; it != m_changes.end(); ++it) {
         bytes += it->bytes;
-        changes.events.push_back(it->change);
-        changes.events.back().age = std::max(now - it->knownSince, Duration(0));
+        const StoredDocument &document = it->change.document;
+        const bool isSpecLeftOut = form == SpecForm::Packed && document.packedSpec;
+        changes.events.push_back({.isDeleted = it->change.isDeleted,
+                                  .document = {.name = document.name,
+                                               .revision = document.revision,
+                                               .created = document.created,
+                                               .spec = isSpecLeftOut ? JsonValue() : document.spec,
+                                               .packedSpec = document.packedSpec},
+                                  .position = it->change.position,
+                                  .age = std::max(now - it->knownSince, Duration(0)),
+                                  .hops = it->change.hops});
     }
     return bytes > maxReplyBytes ? std::nullopt : std::optional(std::move(changes));
 }
@@ -622,7 +631,8 @@
     FeedReply reply{.id = request.id, .storeContactAge = now - m_lastStoreContactAt, .overdue = m_members.overdueSeatHolders(now)};
     for (const auto &[kind, cursor] : request.cursors) {
         const auto log = m_logs.find(kind);
-        std::optional<DocumentChanges> changes = log == m_logs.end() ? std::nullopt : log->second.since(cursor, now);
+        std::optional<DocumentChanges> changes
+            = log == m_logs.end() ? std::nullopt : log->second.since(cursor, now, ChangeLog::SpecForm::Packed);
         if (changes) {
             std::for_each(changes->events.begin(), changes->events.end(), [](DocumentChange &it) { ++it.hops; });
         }
--- a/packages/fleet/src/feed.h
+++ b/packages/fleet/src/feed.h
@@ -31,7 +31,10 @@
     /// restored store.
     void addList(const DocumentList &list, TimePoint now = {});
 
-    std::optional<DocumentChanges> since(const FeedCursor &cursor, TimePoint now = {}) const; // empty: not covered, or too large
+    enum class SpecForm { Parsed, Packed }; // Packed: without the parsed spec where there is a compressed one
+
+    /// The changes after the cursor. Returns nothing if the log doesn't cover it, or if they are too large for a reply.
+    std::optional<DocumentChanges> since(const FeedCursor &cursor, TimePoint now = {}, SpecForm form = SpecForm::Parsed) const;
     bool covers(const FeedCursor &cursor) const;
     StorePosition end() const { return m_spans.empty() ? StorePosition() : m_spans.back().last; } // the default: not started
     FeedCursor cursor() const { return {.since = end(), .newestChange = m_newestChange}; }
--- a/packages/fleet/tests/test_feed.cpp
+++ b/packages/fleet/tests/test_feed.cpp
@@ -1,5 +1,6 @@
 // The change log of a store watcher, and when other Vms fall back from polling it to the store.
 #include "feed.h"
+#include "packed_text.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -216,3 +217,55 @@
     BOOST_TEST(!log.since(cursorAt(40)).has_value());
     BOOST_TEST(log.since(cursorAt(5000, 2)).has_value());
 }
+
+// A reply with all declarations was built from their parsed form for each of a dozen VMs that asked; on the smallest VMs that took longer
+// than they waited.
+BOOST_AUTO_TEST_CASE(a_reply_has_a_large_spec_in_its_compressed_form_only)
+{
+    JsonValue spec = JsonValue::makeObject();
+    spec.add("routes", std::string(20000, 'r'));
+    ChangeLog log;
+    log.restartAt({1, 40});
+    log.add({.position = {1, 42}, .events = {{.document = {.name = "main", .revision = 42, .spec = spec}, .position = {1, 42}}}});
+    const std::optional<DocumentChanges> parsed = log.since(cursorAt(40));
+    BOOST_REQUIRE(parsed.has_value());
+    BOOST_TEST((parsed->events.front().document.spec == spec));
+    const std::optional<DocumentChanges> packed = log.since(cursorAt(40), {}, ChangeLog::SpecForm::Packed);
+    BOOST_REQUIRE(packed.has_value());
+    BOOST_TEST((packed->events.front().document.spec == JsonValue()));
+
+    const std::string bytes = encodeDatagram({"vm-1"}, FeedReply{.id = 7, .changes = {{"config", packed}}});
+    BOOST_TEST(bytes.size() < 1000U);
+    const auto received = std::get<FeedReply>(decodeDatagram(bytes)->second);
+    BOOST_REQUIRE(received.changes.at("config").has_value());
+    BOOST_TEST((received.changes.at("config")->events.front().document.spec == spec));
+}
+
+// Ten versions of the declarations in a second made a reply ten times as long.
+BOOST_AUTO_TEST_CASE(a_reply_has_the_newest_change_of_a_document_only)
+{
+    ChangeLog log;
+    log.restartAt({1, 40});
+    for (std::uint64_t revision = 41; revision <= 50; ++revision) {
+        log.add({.position = {1, revision}, .events = {{.document = {.name = "main", .revision = revision}, .position = {1, revision}}}});
+    }
+    log.add(changesAt(51));
+    const std::optional<DocumentChanges> changes = log.since(cursorAt(42));
+    BOOST_REQUIRE(changes.has_value());
+    BOOST_REQUIRE(changes->events.size() == 2U);
+    BOOST_TEST(changes->events[0].document.revision == 50U);
+    BOOST_TEST(changes->events[1].document.revision == 51U);
+    BOOST_TEST(log.since(cursorAt(50))->events.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(a_compressed_spec_that_is_malformed_is_taken_as_not_covered)
+{
+    const auto damaged = std::make_shared<PackedText>(PackedText{.bytes = "not zlib", .textBytes = 20});
+    const auto huge = std::make_shared<PackedText>(PackedText{.bytes = packText(std::string(2000, 'x'))->bytes, .textBytes = 3000000000});
+    for (const auto &it : {damaged, huge}) {
+        const DocumentChanges changes{.position = {1, 42},
+                                      .events = {{.document = {.name = "main", .revision = 42, .packedSpec = it}, .position = {1, 42}}}};
+        const std::string bytes = encodeDatagram({"vm-1"}, FeedReply{.id = 7, .changes = {{"config", changes}}});
+        BOOST_TEST(!std::get<FeedReply>(decodeDatagram(bytes)->second).changes.at("config").has_value());
+    }
+}
