--- a/packages/fleet/src/feed.cpp
+++ b/packages/fleet/src/feed.cpp
@@ -245,8 +245,9 @@
 DocumentStore::Call<DocumentList> FeedStore::list(std::string kind, ReadConsistency consistency)
 {
     m_metrics.count(Counter::StoreCalls);
+    const TimePoint startedAt = m_clock.now();
     Result<DocumentList> result = co_await m_store.list(kind, consistency);
-    recordAccess(result.has_value(), result ? ErrorCode() : result.error().code);
+    recordAccess(kind, result ? std::nullopt : std::optional(result.error()), startedAt);
     if (!result) {
         co_return result;
     }
@@ -263,11 +264,12 @@
 DocumentStore::Call<DocumentChanges> FeedStore::watchStore(std::string kind, StorePosition since, Duration wait)
 {
     m_metrics.count(Counter::StoreCalls);
+    const TimePoint startedAt = m_clock.now();
     Result<DocumentChanges> changes = co_await m_store.watch(kind, since, wait);
     if ((co_await net::this_coro::cancellation_state).cancelled() != net::cancellation_type::none) {
         co_return tl::unexpected(Error{.code = ErrorCode::Unavailable, .path = kind, .detail = "the changes came in another way"});
     }
-    recordAccess(changes.has_value(), changes ? ErrorCode() : changes.error().code);
+    recordAccess(kind, changes ? std::nullopt : std::optional(changes.error()), startedAt);
     if (changes) {
         m_lastStoreContactAt = m_clock.now();
         const StorePosition previous = m_logs[kind].cursor().newestChange;
@@ -409,9 +411,13 @@
 }
 
 // An answer of any kind proves access.
-void FeedStore::recordAccess(bool succeeded, ErrorCode code)
+void FeedStore::recordAccess(const std::string &kind, const std::optional<Error> &error, TimePoint startedAt)
 {
-    m_members.setStoreAccess(succeeded || (code != ErrorCode::Unavailable && code != ErrorCode::OutcomeUnknown));
+    m_members.setStoreAccess(!error || (error->code != ErrorCode::Unavailable && error->code != ErrorCode::OutcomeUnknown));
+    if (error) {
+        const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(m_clock.now() - startedAt).count();
+        logEvent(Event::StoreCallFailed, {{"kind", kind}, {"after_ms", std::to_string(ms)}, {"error", describe(*error)}});
+    }
 }
 
 void FeedStore::startPolling()
--- a/packages/fleet/src/feed.h
+++ b/packages/fleet/src/feed.h
@@ -173,7 +173,7 @@
     void dropOutdatedChanges(FeedReply &reply, const Cursors &cursors, const VmName &source, Duration elapsed);
     void handleLateReply(const FeedReply &reply);
     void wakeWatches();
-    void recordAccess(bool succeeded, ErrorCode code);
+    void recordAccess(const std::string &kind, const std::optional<Error> &error, TimePoint startedAt);
     boost::asio::awaitable<std::optional<FeedReply>> requestChanges(const Member &source, bool includesCursors);
     void reportPollFailure(const VmName &source, std::string_view cause, Duration elapsed);
     void wake(Watch &watch);
