--- a/packages/fleet/tests/feed_fleet.cpp
+++ b/packages/fleet/tests/feed_fleet.cpp
@@ -1,6 +1,7 @@
 #include "feed_fleet.h"
 
 #include <algorithm>
+#include <numeric>
 
 namespace Pollenspoke {
 
@@ -17,9 +18,14 @@
 
 std::uint16_t unusedPort()
 {
+    static std::set<std::uint16_t> handedOut; // the port isn't bound again until the Vm starts
     net::io_context context;
-    net::ip::udp::socket socket(context, net::ip::udp::endpoint(net::ip::address_v4::loopback(), 0));
-    return socket.local_endpoint().port();
+    for (;;) {
+        net::ip::udp::socket socket(context, net::ip::udp::endpoint(net::ip::address_v4::loopback(), 0));
+        if (handedOut.insert(socket.local_endpoint().port()).second) {
+            return socket.local_endpoint().port();
+        }
+    }
 }
 
 tl::unexpected<Error> unavailable()
@@ -107,10 +113,23 @@
     return std::find(watchers.begin(), watchers.end(), VmName{m_name}) != watchers.end();
 }
 
+void FeedVm::setStoreAccess(StoreAccess access)
+{
+    m_access = access;
+    m_swallowCount += access == StoreAccess::Swallowing ? 1 : 0;
+}
+
 DocumentStore::Call<DocumentList> FeedVm::list(std::string /*kind*/, ReadConsistency /*consistency*/)
 {
     ++m_storeCalls;
-    co_await net::post(co_await net::this_coro::executor, net::use_awaitable);
+    net::steady_timer timer(co_await net::this_coro::executor);
+    timer.expires_after(m_answerTime);
+    co_await timer.async_wait(net::use_awaitable);
+    if (m_access == StoreAccess::Swallowing) {
+        timer.expires_after(callTimeout);
+        co_await timer.async_wait(net::use_awaitable);
+        co_return unavailable();
+    }
     co_return m_fleet.history().list();
 }
 
@@ -119,10 +138,15 @@
     ++m_storeCalls;
     net::steady_timer timer(co_await net::this_coro::executor);
     const TimePoint startedAt = m_clock.now();
+    const std::size_t swallowCount = m_swallowCount;
+    bool isSwallowed = m_access == StoreAccess::Swallowing;
     for (;;) {
-        if (m_access == StoreAccess::Answered) {
+        isSwallowed = isSwallowed || m_swallowCount != swallowCount;
+        if (m_access == StoreAccess::Answered && !isSwallowed) {
             DocumentChanges changes = m_fleet.history().since(since);
             if (!changes.events.empty() || m_clock.now() - startedAt >= wait) {
+                timer.expires_after(m_answerTime);
+                co_await timer.async_wait(net::use_awaitable);
                 co_return changes;
             }
         } else if (m_clock.now() - startedAt >= wait + callTimeout) {
@@ -251,6 +275,19 @@
     return names;
 }
 
+void FeedFleet::setStoreAccess(StoreAccess access)
+{
+    for (FeedVm &it : m_vms) {
+        it.setStoreAccess(access);
+    }
+}
+
+std::size_t FeedFleet::storeCalls() const
+{
+    return std::accumulate(
+        m_vms.begin(), m_vms.end(), std::size_t(0), [](std::size_t sum, const FeedVm &it) { return sum + it.storeCalls(); });
+}
+
 FeedVm &FeedFleet::vm(std::size_t i)
 {
     return *std::next(m_vms.begin(), static_cast<std::ptrdiff_t>(i));
--- a/packages/fleet/tests/feed_fleet.h
+++ b/packages/fleet/tests/feed_fleet.h
@@ -13,7 +13,8 @@
 /// How a Vm's calls to the store end.
 enum class StoreAccess {
     Answered,
-    Silent, // no call is answered, until it times out
+    Silent,     // no call is answered until the access returns or the call times out
+    Swallowing, // the calls that are open and those that begin are never answered, also if the access returns; they time out
 };
 
 /// The store's content: one kind with one document.
@@ -43,7 +44,8 @@
 
     void start(); // after all Vms of the fleet were created
     void kill();  // no more messages are answered or sent
-    void setStoreAccess(StoreAccess access) { m_access = access; }
+    void setStoreAccess(StoreAccess access);
+    void setAnswerTime(Duration time) { m_answerTime = time; }                 // of the store, for each call
     void setReplyRate(double bytesPerSecond) { m_replyRate = bytesPerSecond; } // of its link; 0: unlimited
 
     const std::string &name() const { return m_name; }
@@ -77,6 +79,8 @@
     FeedStore m_feed;
     FollowHandler m_handler;
     StoreAccess m_access = StoreAccess::Answered;
+    Duration m_answerTime{};
+    std::size_t m_swallowCount = 0; // times that the access changed to Swallowing
     double m_replyRate = 0;
     bool m_isDead = false;
     bool m_isSending = false;
@@ -95,6 +99,8 @@
 
     void run(Duration time);
     std::uint64_t write(const std::string &content); // returns the revision
+    void setStoreAccess(StoreAccess access);         // of all Vms
+    std::size_t storeCalls() const;                  // of all Vms
     /// Runs until all Vms but those named have the revision, at most for `limit`. Returns those that don't have it.
     std::vector<std::string> waitFor(std::uint64_t revision, Duration limit, const std::set<std::string> &except = {});
 
