Fleet: calls that the store swallowed are found by probes, not by their time-outs

Callers saw a route handled as an older version says, and withdrawn keys accepted, up to 3 s after a silence of the store. Cause: a call that the store swallowed was noticed by its own time-out alone, 4.0 s for a watch; the silence brought the watches of all watchers into step. ProbedStore doubts a call once it is overdue and asks the store by short calls; the first answer ends the overdue calls. It works since no answer depends on a call that began before the store answered. fleet.feed_silence: late in 75 of 100 lengths, 37 of 60 phases and 3 of 3 pairs before, in none after. The longest back-off of a follower is 300 ms now: while the store doesn't answer, ProbedStore holds the calls back.

--- a/packages/fleet/src/feed.cpp
+++ b/packages/fleet/src/feed.cpp
@@ -13,19 +13,22 @@
 using namespace net::experimental::awaitable_operators;
 
 constexpr auto asTuple = net::as_tuple(net::use_awaitable);
-constexpr auto holderPollInterval = std::chrono::milliseconds(300); // of seat holders: their requests are subject to the changes
-constexpr auto plainPollInterval = std::chrono::milliseconds(600);  // of other Vms; two hops stay well below the platform's bounds
-constexpr auto replyTimeout = std::chrono::milliseconds(150);       // a round trip takes about 2 ms, a large configuration longer
-constexpr std::uint64_t anyDomainInterval = 3;                      // every third poll may go to a source in any failure domain
-constexpr std::size_t maxSourcesPerPoll = 3;                        // if sources are silent, lost the store or lack changes
-constexpr auto silenceMemory = std::chrono::seconds(3);             // a source that didn't answer is asked last for so long
-constexpr auto noticeInterval = std::chrono::milliseconds(100);     // at least, between the notices of one Vm
-constexpr std::uint32_t maxNoticeDelayMs = 60;                      // spreads the polls that one notice causes
-constexpr auto probeInterval = std::chrono::seconds(5);             // of the store by a seat holder without access to it
-constexpr auto startupGrace = std::chrono::milliseconds(2500);      // until the seat holders of a new fleet have found each other
-constexpr auto heldContentTimeout = std::chrono::seconds(10);       // with no Vm that answers, there is none that holds more
-constexpr auto directWatchTimeout = std::chrono::seconds(2);        // for a direct watch of the store by a Vm that isn't a store watcher
-constexpr std::size_t maxExpiredRequests = 16;                      // remembered, to recognize late replies
+constexpr auto holderPollInterval = std::chrono::milliseconds(300);   // of seat holders: their requests are subject to the changes
+constexpr auto plainPollInterval = std::chrono::milliseconds(600);    // of other Vms; two hops stay well below the platform's bounds
+constexpr auto replyTimeout = std::chrono::milliseconds(150);         // a round trip takes about 2 ms, a large configuration longer
+constexpr std::uint64_t anyDomainInterval = 3;                        // every third poll may go to a source in any failure domain
+constexpr std::size_t maxSourcesPerPoll = 3;                          // if sources are silent, lost the store or lack changes
+constexpr auto silenceMemory = std::chrono::seconds(3);               // a source that didn't answer is asked last for so long
+constexpr auto noticeInterval = std::chrono::milliseconds(100);       // at least, between the notices of one Vm
+constexpr std::uint32_t maxNoticeDelayMs = 60;                        // spreads the polls that one notice causes
+constexpr auto watcherProbeInterval = std::chrono::milliseconds(400); // of a silent store; the delay until its return is noticed
+constexpr auto blindProbeInterval = std::chrono::seconds(2);          // the same by a seat holder beside the watchers, if nobody has access
+constexpr auto shortHandedProbeInterval = std::chrono::seconds(1);    // if fewer Vms have access than are to watch
+constexpr auto idleProbeInterval = std::chrono::seconds(5);           // if enough have
+constexpr auto startupGrace = std::chrono::milliseconds(2500);        // until the seat holders of a new fleet have found each other
+constexpr auto heldContentTimeout = std::chrono::seconds(10);         // with no Vm that answers, there is none that holds more
+constexpr auto directWatchTimeout = std::chrono::seconds(2);          // for a direct watch of the store by a Vm that isn't a store watcher
+constexpr std::size_t maxExpiredRequests = 16;                        // remembered, to recognize late replies
 
 } // namespace
 
@@ -175,7 +178,7 @@
 
 FeedStore::FeedStore(net::io_context &context, DocumentStore &store, Link &link, Members &members, const Clock &clock, Metrics &metrics)
     : m_context(context)
-    , m_store(store)
+    , m_store(context, store, clock, metrics)
     , m_link(link)
     , m_members(members)
     , m_clock(clock)
@@ -244,7 +247,6 @@
 
 DocumentStore::Call<DocumentList> FeedStore::list(std::string kind, ReadConsistency consistency)
 {
-    m_metrics.count(Counter::StoreCalls);
     const TimePoint startedAt = m_clock.now();
     Result<DocumentList> result = co_await m_store.list(kind, consistency);
     recordAccess(kind, result ? std::nullopt : std::optional(result.error()), startedAt);
@@ -263,7 +265,6 @@
 
 DocumentStore::Call<DocumentChanges> FeedStore::watchStore(std::string kind, StorePosition since, Duration wait)
 {
-    m_metrics.count(Counter::StoreCalls);
     const TimePoint startedAt = m_clock.now();
     Result<DocumentChanges> changes = co_await m_store.watch(kind, since, wait);
     if ((co_await net::this_coro::cancellation_state).cancelled() != net::cancellation_type::none) {
@@ -339,8 +340,24 @@
     if (std::optional<DocumentChanges> changes = log.since(cursor, m_clock.now()); changes && !changes->events.empty()) {
         co_return std::move(*changes);
     }
-    const Duration timeout = isStoreWatcher() ? wait : std::min<Duration>(wait, directWatchTimeout);
-    co_return co_await watchStoreOrLog(kind, cursor, timeout);
+    const Duration timeout = isStoreWatcher() ? staggeredWait(kind, wait) : std::min<Duration>(wait, directWatchTimeout);
+    Result<DocumentChanges> changes = co_await watchStoreOrLog(kind, cursor, timeout);
+    m_watches[kind].isInStep = !changes || !changes->events.empty();
+    co_return changes;
+}
+
+// A change or a failure ends the watches of all store watchers in the same moment. The next ones end one after the other, over the
+// kinds and the watchers, so that a store that swallowed them is soon noticed by one of them.
+Duration FeedStore::staggeredWait(const std::string &kind, Duration wait)
+{
+    if (!m_watches[kind].isInStep) {
+        return wait;
+    }
+    const std::vector<VmName> watchers = m_members.watchers(m_clock.now());
+    const auto rank = std::find(watchers.begin(), watchers.end(), m_members.self()) - watchers.begin();
+    const auto kinds = static_cast<std::int64_t>(m_watches.size());
+    const std::int64_t slot = rank * kinds + std::distance(m_watches.begin(), m_watches.find(kind)) + 1;
+    return wait * slot / (std::ssize(watchers) * kinds);
 }
 
 // Whether another Vm told of a change that this one lacks.
@@ -420,27 +437,26 @@
     }
 }
 
-void FeedStore::startPolling()
+void FeedStore::startPolling(std::function<void()> onAccessChanged)
 {
     net::co_spawn(m_context, poll(), net::detached);
     net::co_spawn(m_context, sendNotices(), net::detached);
-    net::co_spawn(m_context, probe(), net::detached);
+    m_store.start([this] { return planProbes(); },
+                  [this, onAccessChanged = std::move(onAccessChanged)](bool isReachable) {
+                      m_members.setStoreAccess(isReachable);
+                      onAccessChanged();
+                  });
 }
 
-// A seat holder that the store turned away tries it again, so that it can become a store watcher. Meanwhile it polls the others: a
-// silent store would hold up its own watch for seconds.
-net::awaitable<void> FeedStore::probe()
+// A seat holder that lost the store tries it again, so that it can become a store watcher: the more often the fewer Vms have access.
+ProbedStore::ProbePlan FeedStore::planProbes() const
 {
-    net::steady_timer timer(m_context);
-    for (;;) {
-        timer.expires_after(probeInterval);
-        co_await timer.async_wait(net::use_awaitable);
-        if (!m_members.hasStoreAccess() && m_members.isSeatHolder(m_members.self()) && !isStoreWatcher() && !m_logs.empty()) {
-            const std::string kind = m_logs.begin()->first;
-            const StorePosition since = m_logs.begin()->second.end();
-            co_await watchStore(kind, since, Duration(0));
-        }
+    if (isStoreWatcher()) {
+        return {.interval = watcherProbeInterval, .isPersistent = true};
     }
+    const std::size_t n = m_members.storeAccessCount(m_clock.now());
+    const Duration interval = n == 0 ? blindProbeInterval : n < Members::maxWatchers ? shortHandedProbeInterval : idleProbeInterval;
+    return {.interval = interval, .isPersistent = m_members.isSeatHolder(m_members.self())};
 }
 
 net::awaitable<void> FeedStore::poll()
@@ -701,19 +717,16 @@
 
 DocumentStore::Call<StoredDocument> FeedStore::create(std::string kind, std::string name, JsonValue spec)
 {
-    m_metrics.count(Counter::StoreCalls);
     return m_store.create(std::move(kind), std::move(name), std::move(spec));
 }
 
 DocumentStore::Call<StoredDocument> FeedStore::replace(std::string kind, std::string name, JsonValue spec, std::uint64_t revision)
 {
-    m_metrics.count(Counter::StoreCalls);
     return m_store.replace(std::move(kind), std::move(name), std::move(spec), revision);
 }
 
 DocumentStore::Call<void> FeedStore::remove(std::string kind, std::string name, std::uint64_t revision)
 {
-    m_metrics.count(Counter::StoreCalls);
     return m_store.remove(std::move(kind), std::move(name), revision);
 }
 
--- a/packages/fleet/src/feed.h
+++ b/packages/fleet/src/feed.h
@@ -7,6 +7,7 @@
 #pragma once
 
 #include "link.h"
+#include "probed_store.h"
 
 #include <deque>
 #include <list>
@@ -120,7 +121,8 @@
     Call<StoredDocument> replace(std::string kind, std::string name, JsonValue spec, std::uint64_t revision) override;
     Call<void> remove(std::string kind, std::string name, std::uint64_t revision) override;
 
-    void startPolling();
+    /// `onAccessChanged` is called when the store became reachable or unreachable for this Vm.
+    void startPolling(std::function<void()> onAccessChanged);
     FeedReply answerRequest(const FeedRequest &request) const;
     void handleReply(const FeedReply &reply);
     void handleNotice(const VmName &sender, const FeedNotice &notice);
@@ -150,10 +152,13 @@
     {
         FeedFailures failures;
         boost::asio::steady_timer *timer = nullptr; // of the waiting watch(); cancelled to wake it up
+        bool isInStep = true;                       // began with those of the other store watchers: after a change or a failure
     };
 
     bool isStoreWatcher() const;
     bool isInStartupGrace() const;
+    Duration staggeredWait(const std::string &kind, Duration wait);
+    ProbedStore::ProbePlan planProbes() const;
     const Member *chooseSource(const std::set<VmName> &tried);
     bool isSilent(const Member &source) const;
     Call<DocumentChanges> watchStore(std::string kind, StorePosition since, Duration wait);
@@ -168,7 +173,6 @@
     bool hasHeldContent() const;
     boost::asio::awaitable<void> requestHeldContent();
     void applyHeldContent(const FeedReply &reply);
-    boost::asio::awaitable<void> probe();
     void applyReply(const FeedReply &reply);
     void dropOutdatedChanges(FeedReply &reply, const Cursors &cursors, const VmName &source, Duration elapsed);
     void handleLateReply(const FeedReply &reply);
@@ -179,7 +183,7 @@
     void wake(Watch &watch);
 
     boost::asio::io_context &m_context;
-    DocumentStore &m_store;
+    ProbedStore m_store;
     Link &m_link;
     Members &m_members;
     const Clock &m_clock;
--- a/packages/fleet/src/fleet_vm.cpp
+++ b/packages/fleet/src/fleet_vm.cpp
@@ -672,7 +672,7 @@
     }
     lastPeerReportAt = clock.now();
     startFollowing();
-    feed.startPolling();
+    feed.startPolling([this] { sendReport(members.reportReceivers(), std::nullopt); }); // so that others watch the store instead
     net::co_spawn(context, applyRosterExpiry(), net::detached);
     net::co_spawn(context, reportStatus(), net::detached);
     net::co_spawn(context, reportTargets(), net::detached);
--- a/packages/fleet/src/kind_follower.h
+++ b/packages/fleet/src/kind_follower.h
@@ -35,7 +35,7 @@
     Duration watchWait = std::chrono::seconds(25);
     Duration watchPause = std::chrono::milliseconds(250);
     Duration initialBackoff = std::chrono::milliseconds(150); // delay after a failed call; doubles with each further one
-    Duration maxBackoff = std::chrono::milliseconds(900);
+    Duration maxBackoff = std::chrono::milliseconds(300);
 };
 
 /// Runs until cancelled. The store and the handler must outlive it.
--- a/packages/fleet/src/members.cpp
+++ b/packages/fleet/src/members.cpp
@@ -277,15 +277,23 @@
     return receivers;
 }
 
+bool Members::hasAccess(const VmName &holder, TimePoint now) const
+{
+    const Member &member = m_members.at(holder);
+    return isSelf(holder) ? m_hasStore : member.storeReachableSince && now - member.lastReportAt < freshReportAge;
+}
+
+std::size_t Members::storeAccessCount(TimePoint now) const
+{
+    const std::vector<VmName> live = liveSeatHolders(now);
+    return static_cast<std::size_t>(std::count_if(live.begin(), live.end(), [this, now](const VmName &it) { return hasAccess(it, now); }));
+}
+
 std::vector<VmName> Members::watchers(TimePoint now) const
 {
-    constexpr std::size_t maxWatchers = 4; // seat holders alternate over failure domains, so losing a domain leaves watchers in others
     const std::vector<VmName> live = liveSeatHolders(now);
     std::vector<VmName> selected;
-    std::copy_if(live.begin(), live.end(), std::back_inserter(selected), [this, now](const VmName &it) {
-        const Member &member = m_members.at(it);
-        return isSelf(it) ? m_hasStore : member.storeReachableSince && now - member.lastReportAt < freshReportAge;
-    });
+    std::copy_if(live.begin(), live.end(), std::back_inserter(selected), [this, now](const VmName &it) { return hasAccess(it, now); });
     selected = selected.empty() ? live : selected;
     selected.resize(std::min(selected.size(), maxWatchers));
     return selected;
--- a/packages/fleet/src/members.h
+++ b/packages/fleet/src/members.h
@@ -88,6 +88,8 @@
 
     /// Seat holders that watch the store directly: the first ones with access to it or, if nobody has it, those that try to regain it.
     std::vector<VmName> watchers(TimePoint now) const;
+    static constexpr std::size_t maxWatchers = 4; // seat holders alternate over failure domains, so losing one leaves watchers in others
+    std::size_t storeAccessCount(TimePoint now) const; // live seat holders with access to the store
 
     /// Vms that can be asked for the changes after a position. For a seat holder these are the store watchers; one that lost the
     /// store doesn't notice it at once, so if any have reported a newer change, only those are returned. For other Vms they are
@@ -103,6 +105,8 @@
     std::vector<VmName> lostVms(Duration silence, TimePoint now);
 
 private:
+    bool hasAccess(const VmName &holder, TimePoint now) const; // to the store
+
     VmName m_self;
     FailureDomain m_domain;
     Duration m_silenceLimit;
--- a/packages/fleet/tests/feed_fleet.h
+++ b/packages/fleet/tests/feed_fleet.h
@@ -65,6 +65,7 @@
 
     void handle(const VmName &sender, const LinkMessage &message, const boost::asio::ip::udp::endpoint &from);
     boost::asio::awaitable<void> report();
+    void sendReport();
     boost::asio::awaitable<void> sendSlowly(boost::asio::ip::udp::endpoint to, std::string bytes);
 
     FeedFleet &m_fleet;
@@ -84,6 +85,7 @@
     double m_replyRate = 0;
     bool m_isDead = false;
     bool m_isSending = false;
+    TimePoint m_startedAt;
     std::size_t m_storeCalls = 0;
     std::map<std::uint64_t, TimePoint> m_received; // by revision
 };
--- a/packages/telemetry/include/pollenspoke/telemetry.h
+++ b/packages/telemetry/include/pollenspoke/telemetry.h
@@ -39,6 +39,8 @@
     ObjectsSkipped,        // stored objects skipped as invalid
     StoreFailures,         // times the object store became unreachable
     StoreCalls,            // calls to a store shared by Vms; a long-running watch counts once
+    StoreProbes,           // those that only asked whether the store answers
+    StoreCallsLost,        // those without an answer although the store answered later ones
     FeedPolls,             // requests to other Vms for the store's changes
     FeedPollsUnanswered,   // those without a reply in time
     FeedRepliesLate,       // replies that arrived after that time
--- a/packages/telemetry/src/metrics.cpp
+++ b/packages/telemetry/src/metrics.cpp
@@ -38,6 +38,8 @@
     "objects_skipped",
     "store_failures",
     "store_calls",
+    "store_probes",
+    "store_calls_lost",
     "feed_polls",
     "feed_polls_unanswered",
     "feed_replies_late",
