--- a/packages/base/include/pollenspoke/base.h
+++ b/packages/base/include/pollenspoke/base.h
@@ -236,7 +236,7 @@
     FloorReached            = 4003, // an ejection was suppressed: too few targets would remain in rotation
     TargetListed            = 4004, // a target registered, or its state or address changed
     TargetUnlisted          = 4005, // a target was removed after its registration ended, at once or after a grace period
-    TargetAnnounced         = 4006, // a target said in an answer that it is leaving, or for how long it wants no requests
+    TargetAnnounced         = 4006, // a target said in an answer that it is leaving, for how long it wants no requests, or how many a second it takes
     QuotaReclaimed          = 5001, // the quota grant of a lost Vm was reclaimed
     QuotaDenied             = 5002, // no tokens left locally, and none could be borrowed
     PeerSuspected           = 6001, // a peer stopped responding
--- a/packages/policy/include/pollenspoke/policy.h
+++ b/packages/policy/include/pollenspoke/policy.h
@@ -747,8 +747,9 @@
 /// What a target said about itself in an answer.
 struct TargetAnnouncement
 {
-    bool isLeaving = false; // it wants no more requests
-    Duration pause{0};      // it wants no requests from this Vm for so long; 0: none
+    bool isLeaving = false;      // it wants no more requests
+    Duration pause{0};           // it wants no requests from this Vm for so long; 0: none
+    std::optional<double> limit; // requests/s that it takes from all Vms together; empty: it named none
     auto operator<=>(const TargetAnnouncement &) const = default;
 };
 
@@ -815,6 +816,7 @@
         std::uint64_t incarnation = 0;
         bool isLeaving = false;
         TimePoint pausedUntil;
+        std::optional<double> limit; // requests/s over all Vms
         TimePoint notedAt;
     };
     struct RemoteObservation
--- a/packages/policy/src/balancer.cpp
+++ b/packages/policy/src/balancer.cpp
@@ -98,8 +98,9 @@
     if (announcement.pause > Duration(0)) {
         announced.pausedUntil = std::max(announced.pausedUntil, now + announcement.pause);
     }
+    announced.limit = announcement.limit ? announcement.limit : announced.limit;
     announced.notedAt = now;
-    return announced.isLeaving != previous.isLeaving || announced.pausedUntil != previous.pausedUntil;
+    return announced.limit != previous.limit || announced.isLeaving != previous.isLeaving || announced.pausedUntil != previous.pausedUntil;
 }
 
 bool ServiceBalancer::isListed(const TargetInstance &instance) const
--- a/packages/proxy/include/pollenspoke/proxy.h
+++ b/packages/proxy/include/pollenspoke/proxy.h
@@ -48,12 +48,13 @@
     std::string instanceHeader;                             // to targets: name of the intended target; empty: not sent
     std::string requiredResponseHeader;                     // 2xx responses of targets without it are rejected; empty: no check
     std::string leavingHeader = "Server-Leaving";           // "1" in any response: the target wants no more requests; empty: not read
-    bool preservesRequestId = false;                        // forward the caller's request id; false: generate one per request
-    bool acceptsChunkedRequests = false;                    // false: they are refused with 411
-    bool hasFractionalRetryAfter = false;                   // Retry-After with milliseconds; false: whole seconds
-    bool acceptsUnframedResponses = false;                  // a response body may be delimited by connection close
-    PathMatching pathMatching = PathMatching::Normalized;   // form of the path that routes are matched against
-    std::vector<unsigned> retriedStatuses{502, 503, 504};   // for idempotent requests, if attempts remain
+    std::string limitHeader = "Server-Limit";             // in any response: requests/s that the target takes from all Vms; empty: not read
+    bool preservesRequestId = false;                      // forward the caller's request id; false: generate one per request
+    bool acceptsChunkedRequests = false;                  // false: they are refused with 411
+    bool hasFractionalRetryAfter = false;                 // Retry-After with milliseconds; false: whole seconds
+    bool acceptsUnframedResponses = false;                // a response body may be delimited by connection close
+    PathMatching pathMatching = PathMatching::Normalized; // form of the path that routes are matched against
+    std::vector<unsigned> retriedStatuses{502, 503, 504}; // for idempotent requests, if attempts remain
 };
 
 /// Size, connection and time limits towards callers.
--- a/packages/proxy/src/announcement.cpp
+++ b/packages/proxy/src/announcement.cpp
@@ -17,19 +17,35 @@
     return first == std::string_view::npos ? std::string_view() : text.substr(first, text.find_last_not_of(" \t") - first + 1);
 }
 
-} // namespace
-
-std::optional<Duration> parseRetryAfter(std::string_view text)
+// Digits with at most one decimal point; infinite if out of range.
+std::optional<double> parseDecimal(std::string_view text)
 {
     const std::string_view digits = trim(text);
     const bool isDecimal = !digits.empty() && digits.find_first_not_of("0123456789.") == std::string_view::npos;
-    double seconds = 0;
-    const auto [end, ec] = std::from_chars(digits.data(), digits.data() + digits.size(), seconds, std::chars_format::fixed);
+    double value = 0;
+    const auto [end, ec] = std::from_chars(digits.data(), digits.data() + digits.size(), value, std::chars_format::fixed);
     const bool isHuge = ec == std::errc::result_out_of_range;
     if (!isDecimal || end != digits.data() + digits.size() || (ec != std::errc() && !isHuge)) {
         return std::nullopt;
     }
-    const std::chrono::duration<double> wait(isHuge ? HUGE_VAL : seconds);
+    return isHuge ? HUGE_VAL : value;
+}
+
+} // namespace
+
+std::optional<double> parseTargetLimit(std::string_view text)
+{
+    const std::optional<double> limit = parseDecimal(text);
+    return limit ? std::optional(std::min(*limit, maxTargetLimit)) : std::nullopt;
+}
+
+std::optional<Duration> parseRetryAfter(std::string_view text)
+{
+    const std::optional<double> seconds = parseDecimal(text);
+    if (!seconds) {
+        return std::nullopt;
+    }
+    const std::chrono::duration<double> wait(*seconds);
     return wait >= maxRetryAfter ? maxRetryAfter : std::chrono::ceil<Duration>(wait);
 }
 
@@ -46,6 +62,14 @@
             announcement.pause = std::max(announcement.pause, parseRetryAfter(toView(it.value())).value_or(Duration(0)));
         });
     }
+    if (!contract.limitHeader.empty()) {
+        const auto [begin, end] = header.equal_range(toBeast(contract.limitHeader));
+        std::for_each(begin, end, [&announcement](const auto &it) {
+            if (const std::optional<double> limit = parseTargetLimit(toView(it.value()))) {
+                announcement.limit = std::min(announcement.limit.value_or(*limit), *limit);
+            }
+        });
+    }
     return announcement;
 }
 
--- a/packages/proxy/src/announcement.h
+++ b/packages/proxy/src/announcement.h
@@ -13,7 +13,13 @@
 std::optional<Duration> parseRetryAfter(std::string_view text);
 inline constexpr Duration maxRetryAfter = std::chrono::minutes(10);
 
-/// Reads the announcements of one header block, informational or final. Of several Retry-After values the longest counts.
+/// Reads a limit in requests/s, which may have a fraction. Anything else, such as a sign or an exponent, is ignored. Values above
+/// maxTargetLimit count as that.
+std::optional<double> parseTargetLimit(std::string_view text);
+inline constexpr double maxTargetLimit = 1e6;
+
+/// Reads the announcements of one header block, informational or final. Of several Retry-After values the longest counts, of several
+/// limits the lowest.
 TargetAnnouncement readAnnouncement(const http::response_header<> &header, const WireContract &contract);
 
 } // namespace Pollenspoke
--- a/packages/proxy/src/target_table.cpp
+++ b/packages/proxy/src/target_table.cpp
@@ -315,7 +315,10 @@
     if (!isNews) {
         return;
     }
-    m_metrics.count(announcement.isLeaving ? Counter::LeavingAnnouncements : Counter::PauseAnnouncements);
+    const Counter counter = announcement.isLeaving ? Counter::LeavingAnnouncements
+        : announcement.pause > Duration(0)         ? Counter::PauseAnnouncements
+                                                   : Counter::LimitAnnouncements;
+    m_metrics.count(counter);
     const auto pauseMs = std::chrono::duration_cast<std::chrono::milliseconds>(announcement.pause).count();
     logRequestEvent(Event::TargetAnnounced,
                     {{"service", id.service.value},
@@ -323,6 +326,7 @@
                      {"incarnation", std::to_string(id.incarnation)},
                      {"leaving", announcement.isLeaving ? "yes" : "no"},
                      {"pause_ms", std::to_string(pauseMs)},
+                     {"limit", announcement.limit ? std::to_string(*announcement.limit) : "none"},
                      {"request_id", requestId},
                      {"in_flight", std::to_string(inFlight)}});
 }
--- a/packages/telemetry/include/pollenspoke/telemetry.h
+++ b/packages/telemetry/include/pollenspoke/telemetry.h
@@ -48,6 +48,7 @@
     FeedRepliesNotCovered, // kinds of documents for which the source's log started too late
     LeavingAnnouncements,  // target instances that said in an answer that they are leaving
     PauseAnnouncements,    // answers with which a target asked for a pause, or for a longer one
+    LimitAnnouncements,    // answers with which a target named a limit of requests/s, or another one than before
     DispatchesWithheld,    // choices of a target that left out one because of its announcement, and attempts kept back for it
 };
 inline constexpr std::size_t counterCount = static_cast<std::size_t>(Counter::DispatchesWithheld) + 1;
--- a/packages/telemetry/src/metrics.cpp
+++ b/packages/telemetry/src/metrics.cpp
@@ -47,6 +47,7 @@
     "feed_replies_not_covered",
     "leaving_announcements",
     "pause_announcements",
+    "limit_announcements",
     "dispatches_withheld",
 };
 constexpr std::array<std::string_view, gaugeCount> gaugeNames{
