Balancer: the limit that a target names binds all Vms together

A target that named a limit got three to six times as many requests: nobody read what it said. A few of the seat holders, by rendezvous hashing over the list of Vms, share the limit of a target as token buckets that start empty; the others send it nothing. The token is taken last, before the first byte, and returned only if none was sent. Reports between Vms carry the limit or its end with incarnation and age. In proxy.target_limit the only target's route has a deadline of 1.5 s now: with 30 s, eight callers were rightly served in turn and none refused; all checks stay.

--- a/packages/fleet/src/fleet_vm.cpp
+++ b/packages/fleet/src/fleet_vm.cpp
@@ -494,6 +494,10 @@
     const std::size_t n = std::max<std::size_t>(members.seatHolders().size(), clock.now() < sharesBoundedUntil ? minSeats : 1);
     proxy.setRetryShare(holdsSeat() ? 1.0 / static_cast<double>(n) : 0);
     proxy.setVmCount(static_cast<std::uint32_t>(n));
+    const bool isListComplete = clock.now() >= sharesBoundedUntil; // else the shares of a few would add up to more than the limits
+    proxy.setLimitSharers({.self = options.proxy.vm,
+                           .vms = isListComplete ? members.seatHolders() : std::vector<VmName>(),
+                           .fleetSize = members.others().size() + 1});
 }
 
 // Vms whose registrations a restore lost notice it at the same time, so each waits for a random time that grows with their number.
@@ -671,6 +675,7 @@
         return started;
     }
     lastPeerReportAt = clock.now();
+    publishShares();
     startFollowing();
     feed.startPolling([this] { sendReport(members.reportReceivers(), std::nullopt); }); // so that others watch the store instead
     net::co_spawn(context, applyRosterExpiry(), net::detached);
--- a/packages/fleet/src/link.cpp
+++ b/packages/fleet/src/link.cpp
@@ -52,6 +52,13 @@
             target.set_unreachable_pause_ms(toMs(it.unreachablePause));
             target.set_is_leaving(it.leavingIncarnation.has_value());
             target.set_incarnation(it.leavingIncarnation.value_or(0));
+            target.set_knows_limit(it.limit.has_value());
+            if (it.limit) {
+                target.set_is_limited(it.limit->limit.has_value());
+                target.set_limit(it.limit->limit.value_or(0));
+                target.set_limit_incarnation(it.limit->incarnation);
+                target.set_limit_age_ms(toMs(it.limit->age));
+            }
         }
     }
 }
@@ -235,6 +242,18 @@
     return reply;
 }
 
+// A limit that isn't a number binds nobody.
+std::optional<LimitReport> decodeLimit(const fleet::TargetReport &target)
+{
+    const bool isValid = !target.is_limited() || target.limit() >= 0;
+    if (!target.knows_limit() || !isValid) {
+        return std::nullopt;
+    }
+    return LimitReport{.incarnation = target.limit_incarnation(),
+                       .limit = target.is_limited() ? std::optional(target.limit()) : std::nullopt,
+                       .age = milliseconds(target.limit_age_ms())};
+}
+
 StatusReport decodeStatus(const fleet::Status &status)
 {
     StatusReport report{.isLeaving = status.is_leaving(),
@@ -255,7 +274,8 @@
                                   .failurePause = milliseconds(it.failure_pause_ms()),
                                   .avoidance = milliseconds(it.avoidance_ms()),
                                   .unreachablePause = milliseconds(it.unreachable_pause_ms()),
-                                  .leavingIncarnation = it.is_leaving() ? std::optional<std::uint64_t>(it.incarnation()) : std::nullopt});
+                                  .leavingIncarnation = it.is_leaving() ? std::optional<std::uint64_t>(it.incarnation()) : std::nullopt,
+                                  .limit = decodeLimit(it)});
         }
     }
     report.targetReports = std::move(targetReports);
--- a/packages/fleet/src/target_reports.cpp
+++ b/packages/fleet/src/target_reports.cpp
@@ -17,8 +17,13 @@
     return it == found->second.end() ? nullptr : &*it;
 }
 
-// Returns the targets whose in-flight or failure counts changed, or that announced their leaving. Targets missing from the current reports
-// count as zero.
+std::optional<double> limitOf(const TargetObservation &observation)
+{
+    return observation.limit ? observation.limit->limit : std::nullopt;
+}
+
+// Returns the targets whose in-flight or failure counts changed, or that announced their leaving or another limit. Targets missing from the
+// current reports count as zero.
 TargetUpdates changedReports(const TargetUpdates &previous, const TargetUpdates &current)
 {
     TargetUpdates changes;
@@ -26,7 +31,7 @@
         for (const TargetObservation &it : targets) {
             const TargetObservation *previousReport = findReport(previous, service, it.target);
             if (previousReport == nullptr || previousReport->inFlight != it.inFlight || previousReport->failures != it.failures
-                || previousReport->leavingIncarnation != it.leavingIncarnation) {
+                || previousReport->leavingIncarnation != it.leavingIncarnation || limitOf(*previousReport) != limitOf(it)) {
                 changes[service].push_back(it);
             }
         }
--- a/packages/policy/include/pollenspoke/policy.h
+++ b/packages/policy/include/pollenspoke/policy.h
@@ -684,6 +684,11 @@
 //   that it is leaving, or before the end of a pause that it asked for. What other Vms report of its leaving is evidence like any
 //   other: one report makes this Vm avoid it, leavingQuorum of them pause it.
 
+// - A target may name a limit, the requests/s that it takes from all Vms together, for as long as its answers name it. A few Vms, its
+//   homes, share the limit; the others send it nothing. The shares follow from the list of Vms alone, so that no message is needed to
+//   keep the sum, and a Vm that is cut off keeps a share that the others don't use. What other Vms report of limits binds the Vms that
+//   were told, and with limitQuorum reports those that weren't.
+
 /// How one attempt at a target ended.
 enum class AttemptEnd {
     Answered,    // with a complete answer
@@ -719,9 +724,60 @@
     Duration refusalHalfLife = std::chrono::milliseconds(1500); // half-life of the request and refusal counts
     std::uint32_t unreachableQuorum = 2;                        // other Vms that must fail to reach a target before it is paused here
     std::uint32_t leavingQuorum = 2;                            // other Vms that must report a target as leaving before it is paused here
+    std::uint32_t limitQuorum = 2; // other Vms that must report a target's limit before it binds a Vm that the target hasn't told
     auto operator<=>(const BalancerOptions &) const = default;
 };
 
+/// What a Vm last knew of the limit of a target instance.
+struct LimitReport
+{
+    std::uint64_t incarnation = 0;
+    std::optional<double> limit; // requests/s from all Vms together; empty: it ended
+    Duration age{0};             // since the answer that says so
+    auto operator<=>(const LimitReport &) const = default;
+};
+
+/// The Vms that share the limits of targets.
+struct LimitSharers
+{
+    VmName self;
+    std::optional<std::vector<VmName>> vms; // empty: this Vm is alone; an empty list: not known yet
+    std::size_t fleetSize = 0;              // with the Vms that have no share
+    auto operator<=>(const LimitSharers &) const = default;
+};
+
+/// This Vm's part of a target's limit, in requests/s; 0: it isn't a home of the target. Over all Vms the parts add up to the limit.
+double limitShare(const TargetName &target, double limit, const LimitSharers &sharers);
+
+/// Tokens of this Vm for one target instance. There is always one if no limit is in force.
+class TargetLimit
+{
+public:
+    /// Applies an answer to a request that was sent at the given time. Returns true if it changed the limit.
+    bool applyAnswer(std::optional<double> limit, TimePoint sentAt, const TargetName &target, const LimitSharers &sharers, TimePoint now);
+    void applyReport(const LimitReport &report, TimePoint statedAt, const TargetName &target, const LimitSharers &sharers, TimePoint now);
+    void setSharers(const TargetName &target, const LimitSharers &sharers, TimePoint now);
+
+    std::optional<double> limit() const { return m_limit; }
+    bool isTold() const { return m_isTold; } // an answer to this Vm ever named a limit
+    double share() const { return m_limit ? m_bucket.limits().ratePerSecond : 0; }
+    Duration waitForToken(TimePoint now) const; // one hour if there will be none
+    bool takeToken(TimePoint now);
+    void returnToken(TimePoint now); // of a request that wasn't sent
+    std::optional<LimitReport> report(std::uint64_t incarnation, TimePoint now) const;
+
+private:
+    void apply(std::optional<double> limit, TimePoint statedAt, const TargetName &target, const LimitSharers &sharers, TimePoint now);
+    TimePoint recheckAt() const;
+
+    std::optional<double> m_limit;
+    bool m_isTold = false;
+    TimePoint m_statedAt; // when the newest answer arrived that said so, here or at another Vm; default: never
+    TimePoint m_recheckedAt;
+    Duration m_recheckInterval{}; // between requests of a Vm that has no share
+    TokenBucket m_bucket{Limits{}, TimePoint()};
+};
+
 /// One Vm's load and pauses at one target, as sent to the other Vms.
 struct TargetObservation
 {
@@ -732,6 +788,7 @@
     Duration avoidance{0};                           // remaining time in which other Vms avoid it for requests that can't be retried
     Duration unreachablePause{0};                    // remaining pause as it is unreachable or silent, possibly by that Vm's fault
     std::optional<std::uint64_t> leavingIncarnation; // the one that announced to that Vm that it is leaving; empty: none
+    std::optional<LimitReport> limit;                // empty: that Vm knows of none
     auto operator<=>(const TargetObservation &) const = default;
 };
 
@@ -796,6 +853,15 @@
     /// Returns true if this is news.
     bool announce(const TargetInstance &instance, const TargetAnnouncement &announcement, TimePoint now);
     bool accepts(const TargetInstance &instance, TimePoint now) const; // false: it announced that it is leaving or pausing
+
+    /// Records that a final answer, to a request that was sent at the given time, named no limit. Returns true if that ends one.
+    bool noteUnlimited(const TargetInstance &instance, TimePoint sentAt, TimePoint now);
+    void setLimitSharers(const LimitSharers &sharers, TimePoint now);
+    bool takeToken(const TargetInstance &instance, TimePoint now); // before each request; false: its limit allows none now
+    void returnToken(const TargetInstance &instance, TimePoint now);
+
+    /// Time until the limits allow another request, after those that wait already; zero if a target without a limit is open.
+    Duration limitedWait(std::size_t waitersAhead, TimePoint now) const;
     bool isListed(const TargetInstance &instance) const;
     std::uint64_t withheldChoices() const { return m_withheldChoices; } // choices that left out a target because of its announcement
 
@@ -816,7 +882,7 @@
         std::uint64_t incarnation = 0;
         bool isLeaving = false;
         TimePoint pausedUntil;
-        std::optional<double> limit; // requests/s over all Vms
+        TargetLimit limit;
         TimePoint notedAt;
     };
     struct RemoteObservation
@@ -826,6 +892,7 @@
         TimePoint distrustUntil;
         TimePoint unreachableUntil;
         std::optional<std::uint64_t> leavingIncarnation;
+        std::optional<LimitReport> limit;
         TimePoint expiresAt;
     };
     struct Member
@@ -865,6 +932,10 @@
     TimePoint floorTime(std::uint32_t percent, TimePoint now, const Until &until) const;
     TimePoint pauseFloor(TimePoint now) const;
     TimePoint avoidedUntil(const Member &member, const ChoiceRequest &request, TimePoint now) const;
+    const Announced *findAnnounced(const Member &member) const; // of this instance; nullptr: nothing
+    Duration waitForToken(const Member &member, TimePoint now) const;
+    void applyLimitReport(Member &member, const LimitReport &report, TimePoint now);
+    TimePoint reportedLimitUntil(const Member &member, TimePoint now) const;
     TimePoint reportedLeavingUntil(const Member &member, std::uint32_t minReports, TimePoint now) const;
     TimePoint avoidanceFloor(const ChoiceRequest &request, TimePoint now) const;
     double decayFactor(TimePoint now) const;
@@ -880,6 +951,7 @@
     void forgetAnnouncements(); // of instances that were followed by others
 
     BalancerOptions m_options;
+    LimitSharers m_sharers;
     std::vector<Member> m_members;
     std::map<std::pair<TargetName, Address>, Announced> m_announced; // also of targets that aren't listed at present
     double m_averageLatency = 0;                                     // moving average over all targets, ns; 0: unknown
--- a/packages/policy/src/balancer.cpp
+++ b/packages/policy/src/balancer.cpp
@@ -93,14 +93,118 @@
     if (instance.incarnation > announced.incarnation) {
         announced = {.incarnation = instance.incarnation};
     }
-    const Announced previous = announced;
+    const bool wasLeaving = announced.isLeaving;
+    const TimePoint wasPausedUntil = announced.pausedUntil;
+    const bool isLimitNews = announcement.limit && announced.limit.applyAnswer(announcement.limit, now, instance.name, m_sharers, now);
     announced.isLeaving = announced.isLeaving || announcement.isLeaving;
     if (announcement.pause > Duration(0)) {
         announced.pausedUntil = std::max(announced.pausedUntil, now + announcement.pause);
     }
-    announced.limit = announcement.limit ? announcement.limit : announced.limit;
     announced.notedAt = now;
-    return announced.limit != previous.limit || announced.isLeaving != previous.isLeaving || announced.pausedUntil != previous.pausedUntil;
+    return isLimitNews || announced.isLeaving != wasLeaving || announced.pausedUntil != wasPausedUntil;
+}
+
+bool ServiceBalancer::noteUnlimited(const TargetInstance &instance, TimePoint sentAt, TimePoint now)
+{
+    const auto it = m_announced.find({instance.name, instance.address});
+    const bool isSame = it != m_announced.end() && it->second.incarnation == instance.incarnation;
+    return isSame && it->second.limit.applyAnswer(std::nullopt, sentAt, instance.name, m_sharers, now);
+}
+
+void ServiceBalancer::setLimitSharers(const LimitSharers &sharers, TimePoint now)
+{
+    if (sharers == m_sharers) {
+        return;
+    }
+    m_sharers = sharers;
+    for (auto &[key, it] : m_announced) {
+        it.limit.setSharers(key.first, m_sharers, now);
+    }
+}
+
+bool ServiceBalancer::takeToken(const TargetInstance &instance, TimePoint now)
+{
+    const auto it = m_announced.find({instance.name, instance.address});
+    const bool isBound = it != m_announced.end() && it->second.incarnation >= instance.incarnation;
+    return !isBound || it->second.limit.takeToken(now);
+}
+
+void ServiceBalancer::returnToken(const TargetInstance &instance, TimePoint now)
+{
+    const auto it = m_announced.find({instance.name, instance.address});
+    if (it != m_announced.end() && it->second.incarnation >= instance.incarnation) {
+        it->second.limit.returnToken(now);
+    }
+}
+
+const ServiceBalancer::Announced *ServiceBalancer::findAnnounced(const Member &member) const
+{
+    const auto it = m_announced.find({member.target.name, member.target.address});
+    return it != m_announced.end() && it->second.incarnation >= member.target.incarnation ? &it->second : nullptr;
+}
+
+Duration ServiceBalancer::waitForToken(const Member &member, TimePoint now) const
+{
+    const Announced *announced = findAnnounced(member);
+    return announced == nullptr ? Duration(0) : announced->limit.waitForToken(now);
+}
+
+Duration ServiceBalancer::limitedWait(std::size_t waitersAhead, TimePoint now) const
+{
+    double rate = 0;
+    Duration first = std::chrono::hours(1);
+    for (const Member &it : m_members) {
+        if (!isOpen(it, now)) {
+            continue;
+        }
+        const Announced *announced = findAnnounced(it);
+        if (announced == nullptr || !announced->limit.limit()) {
+            return Duration(0);
+        }
+        rate += announced->limit.share();
+        first = std::min(first, announced->limit.waitForToken(now));
+    }
+    if (rate <= 0) {
+        return Duration(0); // no target is open, or none to this Vm: opensAt() tells
+    }
+    const std::chrono::duration<double> queued(static_cast<double>(waitersAhead) / rate);
+    return first + std::chrono::duration_cast<Duration>(queued);
+}
+
+// A limit that other Vms report replaces an older one of the same instance. Otherwise it binds with a quorum only.
+void ServiceBalancer::applyLimitReport(Member &member, const LimitReport &report, TimePoint now)
+{
+    const Announced *known = findAnnounced(member);
+    if (report.incarnation != member.target.incarnation || (known != nullptr && known->incarnation > report.incarnation)) {
+        return;
+    }
+    const auto reports = std::count_if(member.remotes.begin(), member.remotes.end(), [&](const auto &it) {
+        return it.second.expiresAt > now && it.second.limit && it.second.limit->limit && it.second.limit->incarnation == report.incarnation;
+    });
+    const bool isKnown = known != nullptr && known->limit.limit();
+    if (!isKnown && reports < static_cast<std::ptrdiff_t>(m_options.limitQuorum)) {
+        return;
+    }
+    Announced &announced
+        = m_announced.try_emplace({member.target.name, member.target.address}, Announced{.incarnation = report.incarnation}).first->second;
+    if (announced.incarnation < report.incarnation) {
+        announced = {.incarnation = report.incarnation};
+    }
+    announced.notedAt = now;
+    announced.limit.applyReport(report, now - report.age, member.target.name, m_sharers, now);
+}
+
+// Until when another Vm reports a limit that doesn't bind this Vm; in the past if none does.
+TimePoint ServiceBalancer::reportedLimitUntil(const Member &member, TimePoint now) const
+{
+    TimePoint until;
+    for (const auto &[vm, remote] : member.remotes) {
+        if (remote.expiresAt > now && remote.limit && remote.limit->limit && remote.limit->incarnation == member.target.incarnation) {
+            until = std::max(until, remote.expiresAt);
+        }
+    }
+    const Announced *announced = findAnnounced(member);
+    return announced != nullptr && announced->limit.limit() ? TimePoint() : until;
 }
 
 bool ServiceBalancer::isListed(const TargetInstance &instance) const
@@ -139,7 +243,11 @@
                                                     .distrustUntil = now + std::min(it.avoidance, maxDistrust()),
                                                     .unreachableUntil = now + std::min(it.unreachablePause, m_options.longestPause),
                                                     .leavingIncarnation = it.leavingIncarnation,
+                                                    .limit = it.limit,
                                                     .expiresAt = now + m_options.observationTtl};
+            if (it.limit) {
+                applyLimitReport(*member, *it.limit, now);
+            }
         }
     }
 }
@@ -155,14 +263,17 @@
         const auto announced = m_announced.find({it.target.name, it.target.address});
         const bool isLeaving = announced != m_announced.end() && announced->second.isLeaving;
         const auto leavingIncarnation = isLeaving ? std::optional(announced->second.incarnation) : std::nullopt;
-        if (!it.requestStarts.empty() || avoidance > Duration(0) || unreachablePause > Duration(0) || isLeaving) {
+        const std::optional<LimitReport> limit
+            = announced == m_announced.end() ? std::nullopt : announced->second.limit.report(announced->second.incarnation, now);
+        if (!it.requestStarts.empty() || avoidance > Duration(0) || unreachablePause > Duration(0) || isLeaving || limit) {
             observations.push_back(TargetObservation{.target = it.target.name,
                                                      .inFlight = static_cast<std::uint32_t>(it.requestStarts.size()),
                                                      .failures = it.failures,
                                                      .failurePause = failurePause,
                                                      .avoidance = avoidance,
                                                      .unreachablePause = unreachablePause,
-                                                     .leavingIncarnation = leavingIncarnation});
+                                                     .leavingIncarnation = leavingIncarnation,
+                                                     .limit = limit});
         }
     }
     return observations;
@@ -221,7 +332,7 @@
 {
     const Duration extension = request.isRetryable ? Duration(0) : m_options.retryableOnlyPeriod;
     TimePoint until = member.failures > 0 ? member.avoidUntil + extension : TimePoint();
-    until = std::max(until, reportedLeavingUntil(member, 1, now));
+    until = std::max({until, reportedLeavingUntil(member, 1, now), reportedLimitUntil(member, now)});
     for (const auto &[vm, remote] : member.remotes) {
         until = std::max(until, remote.distrustUntil - m_options.retryableOnlyPeriod + extension);
     }
@@ -334,7 +445,7 @@
     std::vector<Member *> untried;
     std::vector<Member *> alreadyTried;
     for (Member &it : m_members) {
-        const bool isAvailable = isOpen(it, now) && pausedUntil(it, now) <= floors.paused;
+        const bool isAvailable = isOpen(it, now) && pausedUntil(it, now) <= floors.paused && waitForToken(it, now) <= Duration(0);
         if (!isAvailable || !hasCapacity(it, request, now)) {
             continue;
         }
@@ -485,7 +596,8 @@
     const TimePoint floorUntil = pauseFloor(now);
     std::uint32_t n = 0;
     for (const Member &it : m_members) {
-        if (isOpen(it, now) && pausedUntil(it, now) <= floorUntil) {
+        const bool isHeldBack = !includesOccupied && waitForToken(it, now) > Duration(0);
+        if (isOpen(it, now) && pausedUntil(it, now) <= floorUntil && !isHeldBack) {
             const std::uint32_t slots = it.isHalfOpen ? halfOpenSlots : it.target.slots;
             n += includesOccupied ? slots : slots - std::min(slots, inFlight(it, now));
         }
@@ -512,7 +624,11 @@
         if (it.target.state != TargetState::Serving || (isBound && announced->second.isLeaving)) {
             continue;
         }
-        const TimePoint opening = isBound ? std::max(announced->second.pausedUntil, now) : now;
+        const Duration tokenWait = isBound ? announced->second.limit.waitForToken(now) : Duration(0);
+        if (tokenWait >= std::chrono::hours(1)) {
+            continue;
+        }
+        const TimePoint opening = isBound ? std::max(announced->second.pausedUntil, now + tokenWait) : now;
         earliest = std::min(earliest.value_or(opening), opening);
     }
     return earliest;
--- a/packages/proxy/include/pollenspoke/proxy.h
+++ b/packages/proxy/include/pollenspoke/proxy.h
@@ -166,9 +166,10 @@
     void applyTargetUpdates(const VmName &vm, const TargetUpdates &updates, bool isWhole);
     TargetUpdates targetUpdates() const; // to be sent to the other Vms
 
-    void setRetryShare(double share);               // this Vm's share of the retry budgets' reserve, 0 to 1
-    void setVmCount(std::uint32_t n);               // Vms that divide each target's connection limit, at least 1
-    void applyVms(const std::vector<VmEntry> &vms); // for the address list and the connection limits
+    void setRetryShare(double share);                  // this Vm's share of the retry budgets' reserve, 0 to 1
+    void setVmCount(std::uint32_t n);                  // Vms that divide each target's connection limit, at least 1
+    void setLimitSharers(const LimitSharers &sharers); // Vms that share the limits of targets; not set: this Vm is alone
+    void applyVms(const std::vector<VmEntry> &vms);    // for the address list and the connection limits
 
     /// Planned stop, first part: this Vm is no longer advertised but still serves, as the schedule allows. Starts the schedule.
     void beginLeave(const StopSchedule &schedule);
--- a/packages/proxy/src/dispatcher.cpp
+++ b/packages/proxy/src/dispatcher.cpp
@@ -54,6 +54,7 @@
 }
 
 constexpr unsigned misdirectedStatus = 421;
+constexpr unsigned firstFinalStatus = 200;
 constexpr unsigned firstServerErrorStatus = 500;
 
 bool isBodilessResponse(http::verb method, unsigned status)
@@ -419,8 +420,8 @@
                                                                DispatchTrace &trace,
                                                                ReplyWriter &reply)
 {
-    // Checked last: the target may have announced its leaving, in another answer, while this attempt connected.
-    if (!m_targets.accepts(attempt.id)) {
+    // Checked last: the target may have announced its leaving or a limit, in another answer, while this attempt connected.
+    if (!m_targets.admit(attempt.id)) {
         m_dependencies.metrics.count(Counter::DispatchesWithheld);
         co_return AttemptFailure{.reason = RetryReason::TargetClosed, .end = AttemptEnd::Abandoned};
     }
@@ -431,6 +432,7 @@
     trace.mayHaveRun = true; // set before writing: the coroutine may be cancelled during the write
     if (co_await connection.beginSend(serializer, attempt.patienceEndsAt) == 0) {
         trace.mayHaveRun = mayHaveRunBefore;
+        m_targets.returnToken(attempt.id);
         co_return AttemptFailure{.reason = attempt.isPooled ? RetryReason::StaleConnection : RetryReason::ConnectFailed,
                                  .isTargetFault = !attempt.isPooled,
                                  .end = AttemptEnd::Unreachable};
@@ -532,13 +534,20 @@
 
 void Dispatcher::noteAnnouncement(const DispatchRequest &request, const Attempt &attempt, const http::response_header<> &header)
 {
-    const TargetAnnouncement announcement = readAnnouncement(header, m_options.wire);
+    TargetAnnouncement announcement = readAnnouncement(header, m_options.wire);
+    if (header.result_int() == misdirectedStatus || hasForeignRequestId(header, request.requestId, m_options.wire)) {
+        announcement.limit.reset(); // of another target, or an earlier answer
+    }
     if (announcement != TargetAnnouncement()) {
         m_targets.announce(attempt.id, announcement, request.requestId);
     }
     if (announcement.isLeaving) {
         m_pool.discardAll(attempt.id);
     }
+    const bool isFinal = header.result_int() >= firstFinalStatus && header.result_int() != misdirectedStatus;
+    if (!announcement.limit && isFinal && !hasForeignRequestId(header, request.requestId, m_options.wire)) {
+        m_targets.noteUnlimited(attempt.id, attempt.startedAt, request.requestId);
+    }
 }
 
 Dispatcher::AttemptFailure Dispatcher::makeFailure(ReceiveError receiveError, const Attempt &attempt, const TargetConnection &connection)
--- a/packages/proxy/src/proxy.cpp
+++ b/packages/proxy/src/proxy.cpp
@@ -174,6 +174,9 @@
         }
     }
     dispatcher.setVmCount(static_cast<std::uint32_t>(vmList.size()));
+    LimitSharers sharers{.self = options.vm, .vms = std::vector<VmName>(), .fleetSize = vmList.size()};
+    std::transform(vmList.begin(), vmList.end(), std::back_inserter(*sharers.vms), [](const VmEntry &it) { return it.name; });
+    dispatcher.targets().setLimitSharers(vmList.empty() ? LimitSharers{.self = options.vm} : sharers);
     addresses.applyVms(std::move(vmList));
 }
 
@@ -301,6 +304,11 @@
     m_impl->dispatcher.setVmCount(n);
 }
 
+void Proxy::setLimitSharers(const LimitSharers &sharers)
+{
+    m_impl->dispatcher.targets().setLimitSharers(sharers);
+}
+
 void Proxy::applyVms(const std::vector<VmEntry> &vms)
 {
     {
--- a/packages/proxy/src/target_table.cpp
+++ b/packages/proxy/src/target_table.cpp
@@ -132,6 +132,7 @@
     const DispatchOptions &dispatch = m_options.dispatch;
     Entry newEntry{.balancer = ServiceBalancer(dispatch.balancer), .budget = RetryBudget(dispatch.retryBudget)};
     newEntry.budget.setShare(m_retryShare);
+    newEntry.balancer.setLimitSharers(m_limitSharers, m_clock.now());
     return m_entries.emplace(service, std::move(newEntry)).first->second;
 }
 
@@ -225,7 +226,7 @@
 Duration TargetTable::expectedWait(const Entry &entry, std::size_t waitersAhead, TimePoint now)
 {
     const std::uint32_t slots = std::max<std::uint32_t>(entry.balancer.usableSlots(now), 1);
-    return entry.balancer.usualLatency() * (waitersAhead + 1) / slots;
+    return std::max<Duration>(entry.balancer.usualLatency() * (waitersAhead + 1) / slots, entry.balancer.limitedWait(waitersAhead, now));
 }
 
 void TargetTable::wakeWaiters(Entry &entry, TimePoint now)
@@ -338,6 +339,50 @@
     return it == m_entries.end() || it->second.balancer.accepts(id.instance(), m_clock.now());
 }
 
+void TargetTable::noteUnlimited(const TargetId &id, TimePoint sentAt, const std::string &requestId)
+{
+    bool isNews = false;
+    {
+        const std::lock_guard lock(m_mutex);
+        const auto it = m_entries.find(id.service);
+        isNews = it != m_entries.end() && it->second.balancer.noteUnlimited(id.instance(), sentAt, m_clock.now());
+    }
+    if (isNews) {
+        logRequestEvent(Event::TargetAnnounced,
+                        {{"service", id.service.value},
+                         {"target", id.target.value},
+                         {"incarnation", std::to_string(id.incarnation)},
+                         {"limit", "ended"},
+                         {"request_id", requestId}});
+    }
+}
+
+void TargetTable::setLimitSharers(const LimitSharers &sharers)
+{
+    const std::lock_guard lock(m_mutex);
+    m_limitSharers = sharers;
+    for (auto &[name, it] : m_entries) {
+        it.balancer.setLimitSharers(sharers, m_clock.now());
+    }
+}
+
+bool TargetTable::admit(const TargetId &id)
+{
+    const std::lock_guard lock(m_mutex);
+    const auto it = m_entries.find(id.service);
+    const TimePoint now = m_clock.now();
+    return it == m_entries.end() || (it->second.balancer.accepts(id.instance(), now) && it->second.balancer.takeToken(id.instance(), now));
+}
+
+void TargetTable::returnToken(const TargetId &id)
+{
+    const std::lock_guard lock(m_mutex);
+    const auto it = m_entries.find(id.service);
+    if (it != m_entries.end()) {
+        it->second.balancer.returnToken(id.instance(), m_clock.now());
+    }
+}
+
 bool TargetTable::hasOpenTarget(const ServiceName &service) const
 {
     const std::lock_guard lock(m_mutex);
--- a/packages/proxy/src/target_table.h
+++ b/packages/proxy/src/target_table.h
@@ -84,6 +84,12 @@
     void announce(const TargetId &id, const TargetAnnouncement &announcement, const std::string &requestId);
     bool accepts(const TargetId &id) const; // false: it announced that it is leaving or pausing
 
+    /// Records that an answer to a request, sent at the given time, named no limit.
+    void noteUnlimited(const TargetId &id, TimePoint sentAt, const std::string &requestId);
+    void setLimitSharers(const LimitSharers &sharers);
+    bool admit(const TargetId &id);       // as accepts(); also takes a token of the target's limit. Called last before the first byte
+    void returnToken(const TargetId &id); // no byte was sent after admit()
+
     bool hasOpenTarget(const ServiceName &service) const; // one that is listed as serving and announced nothing else
 
     void noteRequest(const ServiceName &service);                   // counts a request (not a retry) for the retry budget
@@ -131,6 +137,7 @@
     std::map<ServiceName, Entry> m_entries;
     std::uint64_t m_lastSequence = 0;
     double m_retryShare = 1;
+    LimitSharers m_limitSharers;
 };
 
 } // namespace Pollenspoke
--- a/packages/proxy/tests/test_target_limit.cpp
+++ b/packages/proxy/tests/test_target_limit.cpp
@@ -130,7 +130,8 @@
 {
     constexpr double limit = 3;
     LimitingTarget limited("Server-Limit: 3\r\n");
-    ProxyFixture fixture({.targets = {limited.address()}, .proxy = withoutTargetPauses()});
+    ProxyFixture fixture(
+        {.targets = {limited.address()}, .proxy = withoutTargetPauses(), .routeFields = ", deadline_ms: 1500, objective_ms: 300"});
     const Answers answers = play(fixture, playTime);
     BOOST_TEST(static_cast<double>(limited.worstWindow()) <= allowed(limit), limited.worstWindow());
     BOOST_TEST(limited.arrivals().size() >= 4 * 3U);
