--- a/packages/proxy/tests/test_target_limit.cpp
+++ b/packages/proxy/tests/test_target_limit.cpp
@@ -89,6 +89,7 @@
     std::mutex mutex;
     Answers answers;
     std::vector<std::thread> callers;
+    callers.reserve(callerCount);
     for (int i = 0; i < callerCount; ++i) {
         callers.emplace_back([&] {
             const SteadyTime end = std::chrono::steady_clock::now() + time;
--- a/soak/callers.cpp
+++ b/soak/callers.cpp
@@ -139,7 +139,8 @@
                         .id = std::string(response["X-Request-Id"]),
                         .body = response.body(),
                         .isSigned = response.count("X-Response-Signature") != 0,
-                        .leavingInstance = response["Server-Leaving"] == "1" ? std::string(response["X-Instance-Id"]) : ""};
+                        .leavingInstance = response["Server-Leaving"] == "1" ? std::string(response["X-Instance-Id"]) : "",
+                        .limitingInstance = response["Server-Limit"].empty() ? "" : std::string(response["X-Instance-Id"])};
             connection.isUsable = response.keep_alive();
         }
     }
--- a/soak/ledger.cpp
+++ b/soak/ledger.cpp
@@ -18,6 +18,13 @@
 constexpr auto pauseSlack = std::chrono::milliseconds(500);
 constexpr std::size_t maxArrivalsInPause = 2;
 
+// How far the platform's specification lets requests to a target exceed the limit that it named, from the Vms that had been told.
+constexpr auto limitContactTime = std::chrono::seconds(3); // after it was first named
+constexpr auto limitToldTime = std::chrono::milliseconds(500);
+constexpr auto limitWindow = std::chrono::seconds(4);
+constexpr double limitTolerance = 1.5; // factor
+constexpr double limitAllowance = 5;   // requests
+
 constexpr std::array<unsigned, 4> notExecutedStatuses{408, 421, 429, 503};
 
 bool isNotExecuted(unsigned status)
@@ -68,12 +75,49 @@
     entry.executedAt.push_back(Clock::now());
 }
 
+void Ledger::recordLimit(const std::string &instance, std::optional<double> limit)
+{
+    const std::lock_guard lock(m_mutex);
+    if (limit) {
+        LimitedInstance &it = m_limited.try_emplace(instance, LimitedInstance{.since = Clock::now()}).first->second;
+        it.limit = *limit;
+    } else {
+        m_limited.erase(instance);
+    }
+}
+
+void Ledger::checkLimit(const std::string &id, const std::string &vm, const std::string &instance)
+{
+    const auto found = m_limited.find(instance);
+    if (found == m_limited.end()) {
+        return;
+    }
+    LimitedInstance &it = found->second;
+    const Clock::time_point now = Clock::now();
+    const auto told = it.toldAt.find(vm);
+    if (told == it.toldAt.end() || now - told->second < limitToldTime || now - it.since < limitContactTime) {
+        return;
+    }
+    it.arrivals.push_back(now);
+    while (now - it.arrivals.front() > limitWindow) {
+        it.arrivals.pop_front();
+    }
+    const double allowed = it.limit * limitTolerance * std::chrono::duration<double>(limitWindow).count() + limitAllowance;
+    if (static_cast<double>(it.arrivals.size()) > allowed) {
+        m_violations.push_back("LIMIT: request " + id + " reached " + instance + ", the " + std::to_string(it.arrivals.size())
+                               + "th in a window");
+    }
+}
+
 void Ledger::recordResponse(const std::string &id, const ReceivedResponse &response)
 {
     const std::lock_guard lock(m_mutex);
     Entry &entry = m_entries[id];
     entry.status = response.status;
     entry.isComplete = true;
+    if (const auto it = m_limited.find(response.limitingInstance); it != m_limited.end()) {
+        it->second.toldAt.emplace(entry.request.vm, Clock::now());
+    }
     if (!response.leavingInstance.empty()) {
         std::optional<Clock::time_point> &since = m_announcements[{entry.request.vm, response.leavingInstance}].leavingSince;
         since = since.value_or(Clock::now());
@@ -93,6 +137,7 @@
     if (entry == m_entries.end()) {
         return; // recordExecution() reports it
     }
+    checkLimit(id, entry->second.request.vm, instance);
     const auto it = m_announcements.find({entry->second.request.vm, instance});
     if (it == m_announcements.end()) {
         return;
@@ -127,6 +172,7 @@
 {
     const std::lock_guard lock(m_mutex);
     std::erase_if(m_announcements, [&vm](const auto &it) { return it.first.first == vm; });
+    std::for_each(m_limited.begin(), m_limited.end(), [&vm](auto &it) { it.second.toldAt.erase(vm); });
 }
 
 std::vector<std::string> Ledger::violations(const std::map<std::string, AccountLimits> &limits) const
--- a/soak/ledger.h
+++ b/soak/ledger.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <chrono>
+#include <deque>
 #include <map>
 #include <mutex>
 #include <optional>
@@ -41,8 +42,9 @@
     unsigned status = 0; // 0: no complete response
     std::string id;
     std::string body;
-    bool isSigned = false;       // the target's signature header is present
-    std::string leavingInstance; // the target instance that announced in it that it is leaving; empty: none did
+    bool isSigned = false;        // the target's signature header is present
+    std::string leavingInstance;  // the target instance that announced in it that it is leaving; empty: none did
+    std::string limitingInstance; // the one that named a limit in it; empty: none did
 };
 
 struct AccountLimits
@@ -68,6 +70,8 @@
     void recordArrival(const std::string &id, const std::string &instance);
     /// An instance refused a request and wants none from that Vm for some time.
     void recordPause(const std::string &id, const std::string &instance, Clock::duration pause);
+    /// An instance names in its answers from now on how many requests/s it takes, or no more; empty.
+    void recordLimit(const std::string &instance, std::optional<double> limit);
     /// The Vm was restarted or suspended: what targets told it before doesn't bind it.
     void forgetAnnouncements(const std::string &vm);
 
@@ -89,6 +93,13 @@
         Clock::time_point pauseEnd;
         std::size_t arrivalsInPause = 0;
     };
+    struct LimitedInstance
+    {
+        double limit = 0; // requests/s
+        Clock::time_point since;
+        std::map<std::string, Clock::time_point> toldAt; // by Vm, that passed on an answer with the limit
+        std::deque<Clock::time_point> arrivals;          // from Vms that had been told, in the last window
+    };
     struct Entry
     {
         SentRequest request;
@@ -98,9 +109,12 @@
         bool isComplete = false; // the caller got a response or gave up
     };
 
+    void checkLimit(const std::string &id, const std::string &vm, const std::string &instance);
+
     mutable std::mutex m_mutex;
     std::map<std::string, Entry> m_entries;
     std::map<std::pair<std::string, std::string>, Announcement> m_announcements; // by Vm and instance
+    std::map<std::string, LimitedInstance> m_limited;
     std::vector<std::string> m_violations;
 };
 
--- a/soak/target.cpp
+++ b/soak/target.cpp
@@ -9,6 +9,7 @@
 constexpr auto serviceTime = milliseconds(8);
 constexpr auto slowServiceTime = serviceTime * 20;
 constexpr auto requestedPause = std::chrono::seconds(1); // by an overloaded target, with Retry-After
+constexpr const char *requestLimit = "3";                // requests/s from all Vms, by a target in need
 constexpr const char *signature = "X-Response-Signature: s\r\n";
 
 std::string nextInstanceId()
@@ -50,6 +51,7 @@
 {
     const std::lock_guard lock(m_mutex);
     m_state.mode = mode;
+    m_ledger.recordLimit(m_state.id, mode == TargetMode::Limiting ? std::optional(std::stod(requestLimit)) : std::nullopt);
 }
 
 void SoakTarget::registerInStore(const std::string &registeredState)
@@ -102,6 +104,9 @@
         if (current.registered == "draining") {
             headers += "Server-Leaving: 1\r\nX-Instance-Id: " + current.id + "\r\n";
         }
+        if (current.mode == TargetMode::Limiting) {
+            headers += std::string("Server-Limit: ") + requestLimit + "\r\nX-Instance-Id: " + current.id + "\r\n";
+        }
         if (request->header("X-Target-Instance") != current.id) {
             peer.send(makeResponse("421 Misdirected", headers + "X-Not-Executed: instance\r\n", ""));
             continue;
@@ -150,6 +155,7 @@
         std::this_thread::sleep_for(slowServiceTime);
         break;
     case TargetMode::Healthy:
+    case TargetMode::Limiting:
     case TargetMode::Overloaded:
         std::this_thread::sleep_for(serviceTime);
         break;
--- a/soak/target.h
+++ b/soak/target.h
@@ -18,6 +18,7 @@
     Truncating, // executes the request, sends half of the response and closes
     ExtraBytes, // sends an unrequested second response after a complete one
     Overloaded, // answers 503 with X-Not-Executed and Retry-After
+    Limiting,   // names a limit of requests/s in its answers
 };
 
 class SoakTarget
--- a/soak/tests/test_ledger.cpp
+++ b/soak/tests/test_ledger.cpp
@@ -153,6 +153,34 @@
     BOOST_TEST(ledger.violations({}).size() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(more_requests_than_a_target_takes_from_the_vms_that_it_told_are_a_violation)
+{
+    Ledger ledger;
+    int number = 0;
+    const auto send = [&ledger, &number](const std::string &vm) {
+        const std::string id = "r-" + std::to_string(++number);
+        ledger.recordRequest(id, {.account = "busy", .vm = vm});
+        ledger.recordArrival(id, "i-1");
+        return id;
+    };
+    ledger.recordLimit("i-1", 1); // allows 11 in 4 s
+    ledger.recordResponse(send("vm-1"), {.status = 404, .limitingInstance = "i-1"});
+    ledger.recordResponse(send("vm-2"), {.status = 404, .limitingInstance = "i-1"});
+    std::this_thread::sleep_for(std::chrono::milliseconds(3050));
+    for (int i = 0; i < 30; ++i) {
+        send("vm-3"); // hasn't been told
+    }
+    for (int i = 0; i < 11; ++i) {
+        send(i % 2 == 0 ? "vm-1" : "vm-2");
+    }
+    BOOST_TEST(ledger.violations({}).empty());
+    send("vm-1");
+    BOOST_TEST(ledger.violations({}).size() == 1U);
+    ledger.recordLimit("i-1", std::nullopt);
+    send("vm-1");
+    BOOST_TEST(ledger.violations({}).size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(a_third_request_during_a_pause_that_a_target_asked_for_is_a_violation)
 {
     Ledger ledger;
--- a/soak/world.cpp
+++ b/soak/world.cpp
@@ -354,7 +354,7 @@
         recordFault("target replaced without drain at the same address");
         return spawn(replaceTarget(target, false, randomIndex(2) == 0));
     default: {
-        const auto mode = static_cast<TargetMode>(1 + randomIndex(7));
+        const auto mode = static_cast<TargetMode>(1 + randomIndex(8));
         recordFault("target mode " + std::to_string(static_cast<int>(mode)));
         return spawn(applyTargetMode(target, mode, duration));
     }
