--- a/packages/fleet/src/feed.cpp
+++ b/packages/fleet/src/feed.cpp
@@ -20,6 +20,7 @@
 constexpr std::size_t maxSourcesPerPoll = 3;                          // if sources are silent, lost the store or lack changes
 constexpr auto silenceMemory = std::chrono::seconds(3);               // a source that didn't answer is asked last for so long
 constexpr auto noticeInterval = std::chrono::milliseconds(100);       // at least, between the notices of one Vm
+constexpr auto watcherNoticeDelay = std::chrono::milliseconds(100);   // in which a store watcher usually gets a change from the store
 constexpr std::uint32_t maxNoticeDelayMs = 60;                        // spreads the polls that one notice causes
 constexpr auto watcherProbeInterval = std::chrono::milliseconds(400); // of a silent store; the delay until its return is noticed
 constexpr auto blindProbeInterval = std::chrono::seconds(2);          // the same by a seat holder beside the watchers, if nobody has access
@@ -399,7 +400,7 @@
     }
 }
 
-// A store watcher gets most changes from the store itself in the next moment, so it polls only if it is still behind at its next turn.
+// A store watcher gets most changes from the store itself in the next moment, so it polls a little later, and only if it is still behind.
 void FeedStore::handleNotice(const VmName &sender, const FeedNotice &notice)
 {
     for (const auto &[kind, position] : notice.newestChanges) {
@@ -411,12 +412,11 @@
         return;
     }
     m_noticeSender = sender;
-    if (!isStoreWatcher()) {
-        std::uniform_int_distribution<std::uint32_t> delay(0, maxNoticeDelayMs);
-        const TimePoint pollAt = m_clock.now() + std::chrono::milliseconds(delay(m_generator));
-        if (pollAt < m_pollTimer.expiry()) {
-            m_pollTimer.expires_at(pollAt); // cancels the wait, which begins anew
-        }
+    std::uniform_int_distribution<std::uint32_t> delay(0, maxNoticeDelayMs);
+    const auto headStart = isStoreWatcher() ? watcherNoticeDelay : std::chrono::milliseconds(0);
+    const TimePoint pollAt = m_clock.now() + headStart + std::chrono::milliseconds(delay(m_generator));
+    if (pollAt < m_pollTimer.expiry()) {
+        m_pollTimer.expires_at(pollAt); // cancels the wait, which begins anew
     }
 }
 
--- a/packages/fleet/tests/feed_fleet.cpp
+++ b/packages/fleet/tests/feed_fleet.cpp
@@ -16,18 +16,6 @@
 constexpr auto silenceLimit = std::chrono::seconds(3);
 constexpr std::array<const char *, 4> domains{"fd-a", "fd-b", "fd-c", "fd-d"};
 
-std::uint16_t unusedPort()
-{
-    static std::set<std::uint16_t> handedOut; // the port isn't bound again until the Vm starts
-    net::io_context context;
-    for (;;) {
-        net::ip::udp::socket socket(context, net::ip::udp::endpoint(net::ip::address_v4::loopback(), 0));
-        if (handedOut.insert(socket.local_endpoint().port()).second) {
-            return socket.local_endpoint().port();
-        }
-    }
-}
-
 tl::unexpected<Error> unavailable()
 {
     return tl::unexpected(Error{.code = ErrorCode::Unavailable});
@@ -64,7 +52,8 @@
     : m_fleet(fleet)
     , m_name(std::move(name))
     , m_domain(std::move(domain))
-    , m_address{.ip = "127.0.0.1", .port = unusedPort()}
+    , m_portReservation(fleet.context(), net::ip::udp::endpoint(net::ip::address_v4::loopback(), 0))
+    , m_address{.ip = "127.0.0.1", .port = m_portReservation.local_endpoint().port()}
     , m_members({m_name}, m_domain, silenceLimit)
     , m_link(fleet.context(),
              {m_name},
@@ -86,6 +75,7 @@
                       {.callers = it.address(), .peers = it.address(), .failureDomain = it.domain()},
                       m_clock.now());
     }
+    m_portReservation.close();
     const Result<void> started = m_link.start();
     POLLENSPOKE_ASSERT(started.has_value(), "the tests must be able to bind a port on 127.0.0.1");
     m_handler = {.onListed = [](const DocumentList &) {},
--- a/packages/fleet/tests/feed_fleet.h
+++ b/packages/fleet/tests/feed_fleet.h
@@ -71,6 +71,7 @@
     FeedFleet &m_fleet;
     std::string m_name;
     FailureDomain m_domain;
+    boost::asio::ip::udp::socket m_portReservation; // until the link binds the port
     Address m_address;
     SteadyClock m_clock;
     Metrics m_metrics;
