--- a/packages/policy/include/pollenspoke/policy.h
+++ b/packages/policy/include/pollenspoke/policy.h
@@ -759,7 +759,6 @@
     void setSharers(const TargetName &target, const LimitSharers &sharers, TimePoint now);
 
     std::optional<double> limit() const { return m_limit; }
-    bool isTold() const { return m_isTold; } // an answer to this Vm ever named a limit
     double share() const { return m_limit ? m_bucket.limits().ratePerSecond : 0; }
     Duration waitForToken(TimePoint now) const; // one hour if there will be none
     bool takeToken(TimePoint now);
@@ -771,7 +770,6 @@
     TimePoint recheckAt() const;
 
     std::optional<double> m_limit;
-    bool m_isTold = false;
     TimePoint m_statedAt; // when the newest answer arrived that said so, here or at another Vm; default: never
     TimePoint m_recheckedAt;
     Duration m_recheckInterval{}; // between requests of a Vm that has no share
--- a/packages/policy/src/target_limit.cpp
+++ b/packages/policy/src/target_limit.cpp
@@ -70,7 +70,6 @@
         return false;
     }
     const bool isNews = limit != m_limit;
-    m_isTold = m_isTold || limit.has_value();
     apply(limit, now, target, sharers, now);
     return isNews;
 }
--- a/packages/policy/tests/test_target_limit.cpp
+++ b/packages/policy/tests/test_target_limit.cpp
@@ -14,7 +14,6 @@
 constexpr auto tick = 10ms;
 constexpr auto reportPeriod = 1s;
 constexpr std::size_t maxSharers = 31; // seat holders of the largest fleet
-const ServiceName service{"work"};
 
 double allowed(double limit)
 {
