--- a/packages/fleet/tests/feed_fleet.cpp
+++ b/packages/fleet/tests/feed_fleet.cpp
@@ -16,6 +16,23 @@
 constexpr auto silenceLimit = std::chrono::seconds(3);
 constexpr std::array<const char *, 4> domains{"fd-a", "fd-b", "fd-c", "fd-d"};
 
+// Below the range from which the system chooses ports, where hundreds of sockets would take those that other tests are about to bind.
+net::ip::udp::socket bindUnusedPort(net::io_context &context)
+{
+    constexpr std::uint16_t firstPort = 10000;
+    constexpr std::uint16_t portCount = 20000;
+    static std::uint16_t next = static_cast<std::uint16_t>(std::random_device{}() % portCount);
+    for (;;) {
+        next = static_cast<std::uint16_t>((next + 1) % portCount);
+        net::ip::udp::socket socket(context, net::ip::udp::v4());
+        boost::system::error_code ec;
+        socket.bind({net::ip::address_v4::loopback(), static_cast<std::uint16_t>(firstPort + next)}, ec);
+        if (!ec) {
+            return socket;
+        }
+    }
+}
+
 tl::unexpected<Error> unavailable()
 {
     return tl::unexpected(Error{.code = ErrorCode::Unavailable});
@@ -52,14 +69,14 @@
     : m_fleet(fleet)
     , m_name(std::move(name))
     , m_domain(std::move(domain))
-    , m_portReservation(fleet.context(), net::ip::udp::endpoint(net::ip::address_v4::loopback(), 0))
+    , m_portReservation(bindUnusedPort(fleet.context()))
     , m_address{.ip = "127.0.0.1", .port = m_portReservation.local_endpoint().port()}
     , m_members({m_name}, m_domain, silenceLimit)
     , m_link(fleet.context(),
              {m_name},
              m_address,
              [this](const VmName &sender, const LinkMessage &message, const auto &from) { handle(sender, message, from); })
-    , m_slowSocket(fleet.context(), net::ip::udp::endpoint(net::ip::address_v4::loopback(), 0))
+    , m_slowSocket(bindUnusedPort(fleet.context()))
     , m_feed(fleet.context(), *this, m_link, m_members, m_clock, m_metrics)
 {
 }
