--- a/soak/tests/test_ledger.cpp
+++ b/soak/tests/test_ledger.cpp
@@ -158,7 +158,7 @@
     Ledger ledger;
     int number = 0;
     const auto send = [&ledger, &number](const std::string &vm) {
-        const std::string id = "r-" + std::to_string(++number);
+        std::string id = "r-" + std::to_string(++number);
         ledger.recordRequest(id, {.account = "busy", .vm = vm});
         ledger.recordArrival(id, "i-1");
         return id;
