Build: properties of tests are set only where tests are built

The platform couldn't build the daemon: `build` of deploy/system.toml ended while configuring, and no VM started.

Cause: packages/fleet/CMakeLists.txt set a property of the test fleet.feed_silence, which exists only with BUILD_TESTING; `build` turns that off.

The other CMakeLists.txt files were read for the same mistake: apps asks `if(TARGET ...)`, peer `if(BUILD_TESTING)`, soak isn't added; none has it.

pollenspoke_tests() takes the tests that run alone now, and it returns first thing without BUILD_TESTING, so that no package repeats the condition.

--- a/cmake/pollenspoke.cmake
+++ b/cmake/pollenspoke.cmake
@@ -17,8 +17,9 @@
 endfunction()
 
 # Adds one test program per tests/test_*.cpp of the package. The other sources in tests/ form a support library for all of them.
+# The tests named after ALONE run while no other test does. Without BUILD_TESTING, adds nothing: properties of tests are set here only.
 function(pollenspoke_tests name)
-    cmake_parse_arguments(arg "" "CXX" "USES;LINKS;PCH" ${ARGN})
+    cmake_parse_arguments(arg "" "CXX" "USES;LINKS;PCH;ALONE" ${ARGN})
     if(NOT BUILD_TESTING)
         return()
     endif()
@@ -50,4 +51,7 @@
         add_test(NAME ${name}.${stem} COMMAND test_${name}_${stem})
         set_tests_properties(${name}.${stem} PROPERTIES TIMEOUT 300)
     endforeach()
+    foreach(it ${arg_ALONE})
+        set_tests_properties(${name}.${it} PROPERTIES RUN_SERIAL ON)
+    endforeach()
 endfunction()
