Feed: Vms without a seat watch the store for seat holders that have lost it

Cause: a Vm without a seat took any reply of a seat holder for progress. Only sources without a reply led it to the store; those that replied but had lost the store themselves never did.

Now the age of the newest contact with the store, handed on or own, decides. One that gets an answer becomes a deputy: it watches the store, reports that to the seat holders and notifies them of changes; these take the changes from the deputies, four at most, for themselves and for everybody else. Replies name the deputies in use; one that nobody names, while the contact is fresh, stands down. This holds for all kinds on the feed.

Ruled out: that a faster poll would do, as nobody whom these Vms polled had the change.

--- a/packages/base/include/pollenspoke/base.h
+++ b/packages/base/include/pollenspoke/base.h
@@ -224,6 +224,7 @@
     DeclarationsInForce     = 2007, // newer declarations took effect, with their age and the way they came
     FeedPollFailed          = 2008, // another Vm's reply about the store's changes was missing, late or outdated
     StoreCallFailed         = 2009, // one call to the store got no answer or a failure; with its age and how far it had got
+    DeputyRoleChanged       = 2010, // watches the store for the seat holders, which have lost it, or does so no more
     RequestRefused          = 3001, // with reason and account; sampled
     AnswerDiscarded         = 3002, // a truncated, mismatched or unsolicited response was dropped
     SilentConnectionsClosed = 3003, // connections to a target stopped responding and were closed
--- a/packages/base/src/events.cpp
+++ b/packages/base/src/events.cpp
@@ -30,6 +30,7 @@
     EventRow{Event::DeclarationsInForce, "declarations_in_force"},
     EventRow{Event::FeedPollFailed, "feed_poll_failed"},
     EventRow{Event::StoreCallFailed, "store_call_failed"},
+    EventRow{Event::DeputyRoleChanged, "deputy_role_changed"},
     EventRow{Event::RequestRefused, "request_refused"},
     EventRow{Event::AnswerDiscarded, "answer_discarded"},
     EventRow{Event::SilentConnectionsClosed, "silent_connections_closed"},
--- a/packages/fleet/src/feed.cpp
+++ b/packages/fleet/src/feed.cpp
@@ -190,11 +190,15 @@
     , m_generator(std::random_device{}())
     , m_startedAt(clock.now())
     , m_lastStoreContactAt(m_startedAt)
+    , m_deputy(m_startedAt)
 {
 }
 
 bool FeedStore::isStoreWatcher() const
 {
+    if (m_deputy.isDeputy()) {
+        return true;
+    }
     const std::vector<VmName> watchers = m_members.watchers(m_clock.now());
     return std::any_of(watchers.begin(), watchers.end(), [this](const VmName &it) { return m_members.isSelf(it); });
 }
@@ -213,6 +217,72 @@
     return newest;
 }
 
+//-----------------------------------------------------------------------------
+// Deputies of the seat holders
+//-----------------------------------------------------------------------------
+
+// A watch without changes must not make the contact look old.
+Duration FeedStore::contactLimit() const
+{
+    return std::max<Duration>(storeSilenceLimit, m_longestWait + storeSilenceLimit / 2);
+}
+
+void FeedStore::noteOwnContact()
+{
+    if (m_members.isSeatHolder(m_members.self())) {
+        return;
+    }
+    m_deputy.recordOwnContact(m_clock.now(), contactLimit());
+    updateDeputyRole();
+}
+
+void FeedStore::updateDeputyRole()
+{
+    const bool holdsSeat = m_members.isSeatHolder(m_members.self());
+    if (holdsSeat) {
+        m_deputy.recordLoss();
+    } else {
+        m_deputy.update(m_clock.now(), contactLimit());
+    }
+    if (m_deputy.isDeputy() != m_isDeputy) {
+        logEvent(Event::DeputyRoleChanged, {{"role", m_isDeputy ? "none" : "deputy"}});
+        if (m_isDeputy) {
+            const bool hasAccess = m_members.hasStoreAccess();
+            m_members.setStoreAccess(false); // in the last report as a deputy
+            m_onAccessChanged();
+            m_members.setStoreAccess(hasAccess);
+        }
+        m_isDeputy = m_deputy.isDeputy();
+        m_members.setDeputy(m_isDeputy);
+        if (m_isDeputy) {
+            m_members.setStoreAccess(true);
+            m_onAccessChanged();
+        }
+        wakeWatches();
+    }
+    if (!holdsSeat && !m_isProbing && m_deputy.isBlind(m_clock.now(), contactLimit())) {
+        m_isProbing = true;
+        net::co_spawn(m_context, probeWhileBlind(), net::detached);
+    }
+}
+
+// The first probe comes after a random part of the interval: all Vms without a seat lose the contact at about the same time.
+net::awaitable<void> FeedStore::probeWhileBlind()
+{
+    net::steady_timer timer(m_context);
+    std::uniform_real_distribution<double> part(0, 1);
+    const auto seats = m_members.seatHolders().size();
+    const auto interval = DeputyRole::probeInterval(m_members.others().size() + 1 - std::min(seats, m_members.others().size() + 1));
+    timer.expires_after(std::chrono::duration_cast<Duration>(interval * part(m_generator)));
+    co_await timer.async_wait(asTuple);
+    while (m_deputy.isBlind(m_clock.now(), contactLimit()) && !m_members.isSeatHolder(m_members.self())) {
+        m_store.probe();
+        timer.expires_after(interval);
+        co_await timer.async_wait(asTuple);
+    }
+    m_isProbing = false;
+}
+
 bool FeedStore::isSilent(const Member &source) const
 {
     return m_silentSources.contains(source.name);
@@ -321,6 +391,7 @@
     }
     Watch &watch = m_watches[kind];
     watch.failures = {};
+    m_longestWait = std::max(m_longestWait, wait);
     const TimePoint deadline = m_clock.now() + wait;
     net::steady_timer timer(m_context);
     while (!isStoreWatcher() && !watch.failures.isLimitReached()) {
@@ -356,6 +427,9 @@
     }
     const std::vector<VmName> watchers = m_members.watchers(m_clock.now());
     const auto rank = std::find(watchers.begin(), watchers.end(), m_members.self()) - watchers.begin();
+    if (rank == std::ssize(watchers)) {
+        return wait; // a deputy
+    }
     const auto kinds = static_cast<std::int64_t>(m_watches.size());
     const std::int64_t slot = rank * kinds + std::distance(m_watches.begin(), m_watches.find(kind)) + 1;
     return wait * slot / (std::ssize(watchers) * kinds);
@@ -430,7 +504,12 @@
 // An answer of any kind proves access.
 void FeedStore::recordAccess(const std::string &kind, const std::optional<Error> &error, TimePoint startedAt)
 {
-    m_members.setStoreAccess(!error || (error->code != ErrorCode::Unavailable && error->code != ErrorCode::OutcomeUnknown));
+    const bool hasAccess = !error || (error->code != ErrorCode::Unavailable && error->code != ErrorCode::OutcomeUnknown);
+    m_members.setStoreAccess(hasAccess);
+    if (!hasAccess && m_deputy.isDeputy()) {
+        m_deputy.recordLoss();
+        updateDeputyRole();
+    }
     if (error) {
         const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(m_clock.now() - startedAt).count();
         logEvent(Event::StoreCallFailed, {{"kind", kind}, {"after_ms", std::to_string(ms)}, {"error", describe(*error)}});
@@ -441,11 +520,14 @@
 {
     net::co_spawn(m_context, poll(), net::detached);
     net::co_spawn(m_context, sendNotices(), net::detached);
-    m_store.start([this] { return planProbes(); },
-                  [this, onAccessChanged = std::move(onAccessChanged)](bool isReachable) {
-                      m_members.setStoreAccess(isReachable);
-                      onAccessChanged();
-                  });
+    m_onAccessChanged = std::move(onAccessChanged);
+    m_store.start({.planProbes = [this] { return planProbes(); },
+                   .onAccessChanged =
+                       [this](bool isReachable) {
+                           m_members.setStoreAccess(isReachable);
+                           m_onAccessChanged();
+                       },
+                   .onAnswer = [this] { noteOwnContact(); }});
 }
 
 // A seat holder that lost the store tries it again, so that it can become a store watcher: the more often the fewer Vms have access.
@@ -469,7 +551,8 @@
             co_await m_pollTimer.async_wait(asTuple); // a notice may move the time
         }
         startedAt = m_clock.now();
-        if (!isStoreWatcher() || isBehind()) {
+        updateDeputyRole();
+        if (!isStoreWatcher() || m_isDeputy || !m_members.hasStoreAccess() || isBehind()) {
             co_await pollOnce();
         }
         if (isBehind() && !isStoreWatcher()) {
@@ -576,6 +659,10 @@
     m_lastStoreContactAt = std::max(m_lastStoreContactAt, now - reply.storeContactAge);
     if (!m_members.isSeatHolder(m_members.self())) {
         m_members.recordSeatHolders(reply.overdue, now);
+        m_deputy.recordHandedOnContact(now - reply.storeContactAge);
+        if (std::find(reply.deputies.begin(), reply.deputies.end(), m_members.self()) != reply.deputies.end()) {
+            m_deputy.recordNeed(now);
+        }
     }
     for (const auto &[kind, changes] : reply.changes) {
         const auto watch = m_watches.find(kind);
@@ -651,6 +738,9 @@
 {
     const TimePoint now = m_clock.now();
     FeedReply reply{.id = request.id, .storeContactAge = now - m_lastStoreContactAt, .overdue = m_members.overdueSeatHolders(now)};
+    if (m_members.isSeatHolder(m_members.self())) {
+        reply.deputies = m_members.deputies(now);
+    }
     for (const auto &[kind, cursor] : request.cursors) {
         const auto log = m_logs.find(kind);
         std::optional<DocumentChanges> changes
--- a/packages/fleet/src/feed.h
+++ b/packages/fleet/src/feed.h
@@ -6,6 +6,7 @@
 /// store keeps nobody on an older version.
 #pragma once
 
+#include "deputy.h"
 #include "link.h"
 #include "probed_store.h"
 
@@ -132,6 +133,7 @@
 
     StorePosition newestPosition() const;                                 // up to which any kind is known
     TimePoint lastStoreContactAt() const { return m_lastStoreContactAt; } // when the store last answered this Vm or one of its sources
+    std::optional<TimePoint> deputySince() const { return m_deputy.deputySince(); }
 
 private:
     using Cursors = std::map<std::string, FeedCursor>; // by kind
@@ -155,7 +157,11 @@
         bool isInStep = true;                       // began with those of the other store watchers: after a change or a failure
     };
 
-    bool isStoreWatcher() const;
+    bool isStoreWatcher() const; // also as a deputy of the seat holders
+    Duration contactLimit() const;
+    void noteOwnContact();
+    void updateDeputyRole();
+    boost::asio::awaitable<void> probeWhileBlind();
     bool isInStartupGrace() const;
     Duration staggeredWait(const std::string &kind, Duration wait);
     ProbedStore::ProbePlan planProbes() const;
@@ -207,6 +213,11 @@
     Generator m_generator;
     TimePoint m_startedAt;
     TimePoint m_lastStoreContactAt;
+    DeputyRole m_deputy;
+    bool m_isDeputy = false;  // as last published
+    bool m_isProbing = false; // as it is blind
+    Duration m_longestWait{}; // of the watches
+    std::function<void()> m_onAccessChanged = [] {};
 };
 
 } // namespace Pollenspoke
--- a/packages/fleet/src/fleet_vm.cpp
+++ b/packages/fleet/src/fleet_vm.cpp
@@ -577,11 +577,13 @@
 
 void FleetVm::Impl::sendReport(const std::vector<const Member *> &receivers, std::optional<TargetUpdates> reports, bool isFullReport)
 {
+    // Before it became a deputy, a Vm without a seat had the store's answers from others.
+    const std::optional<TimePoint> reachableSince = feed.deputySince() ? feed.deputySince() : storeReachableSince;
     const StatusReport status{.isLeaving = isLeaving,
                               .newestChange = newestChange,
                               .declarationsVersion = configuration.declarationsVersion(),
-                              .storeReachableFor = storeReachableSince && members.hasStoreAccess()
-                                  ? std::max<Duration>(clock.now() - *storeReachableSince, std::chrono::milliseconds(1))
+                              .storeReachableFor = reachableSince && members.hasStoreAccess()
+                                  ? std::max<Duration>(clock.now() - *reachableSince, std::chrono::milliseconds(1))
                                   : Duration(0),
                               .targetReports = std::move(reports),
                               .isFullReport = isFullReport};
--- a/packages/fleet/src/link.cpp
+++ b/packages/fleet/src/link.cpp
@@ -152,6 +152,9 @@
         status.set_report_age_ms(toMs(it.reportAge));
         status.set_is_leaving(it.isLeaving);
     }
+    for (const VmName &it : reply.deputies) {
+        answer.add_deputies(it.value);
+    }
     if (reply.declarations) {
         fleet::HeldDeclarations &declarations = *answer.mutable_declarations();
         declarations.set_name(reply.declarations->name);
@@ -229,6 +232,9 @@
     for (const fleet::SeatHolderStatus &it : answer.overdue()) {
         reply.overdue.push_back({.vm = {it.vm()}, .reportAge = milliseconds(it.report_age_ms()), .isLeaving = it.is_leaving()});
     }
+    for (const std::string &it : answer.deputies()) {
+        reply.deputies.push_back({it});
+    }
     StoredDocument declarations{.name = answer.declarations().name(), .revision = answer.declarations().revision()};
     if (answer.has_declarations() && decodeSpec(answer.declarations(), declarations)) {
         reply.declarations = std::move(declarations);
--- a/packages/fleet/src/link.h
+++ b/packages/fleet/src/link.h
@@ -57,6 +57,7 @@
     std::map<std::string, std::optional<DocumentChanges>> changes; // by kind; empty: the sender's log doesn't cover them
     Duration storeContactAge{};                                    // since the store answered the sender or one of its sources
     std::vector<SeatHolderStatus> overdue;                         // the sender received recent reports from all other seat holders
+    std::vector<VmName> deputies;                                  // Vms without a seat from which the sender gets the store's changes
     std::optional<StoredDocument> declarations;                    // in force at the sender, if newer than the receiver's
     std::optional<std::vector<TargetDeparture>> departures;        // if requested; empty: the sender doesn't know them
 };
--- a/packages/fleet/src/members.cpp
+++ b/packages/fleet/src/members.cpp
@@ -241,14 +241,14 @@
         receivers.push_back(&m_members.at(it));
     }
     const bool holdsSeat = std::erase_if(receivers, [this](const Member *it) { return isSelf(it->name); }) > 0;
-    return holdsSeat ? receivers : std::vector<const Member *>();
+    return holdsSeat || m_isDeputy ? receivers : std::vector<const Member *>();
 }
 
 std::vector<const Member *> Members::noticeReceivers(TimePoint now) const
 {
     std::vector<const Member *> receivers;
     if (!isSeatHolder(m_self)) {
-        return receivers;
+        return reportReceivers();
     }
     const std::vector<VmName> watching = watchers(now);
     if (std::find(watching.begin(), watching.end(), m_self) != watching.end()) {
@@ -299,10 +299,28 @@
     return selected;
 }
 
+std::vector<VmName> Members::deputies(TimePoint now) const
+{
+    std::vector<VmName> selected;
+    if (storeAccessCount(now) > 0) {
+        return selected;
+    }
+    const std::set<VmName> seated(seatHolders().begin(), seatHolders().end());
+    for (const auto &[name, it] : m_members) {
+        if (selected.size() < maxWatchers && it.storeReachableSince && !seated.contains(name) && !isSelf(name) && isLive(it, now)) {
+            selected.push_back(name);
+        }
+    }
+    return selected;
+}
+
 std::vector<const Member *> Members::feedSources(StorePosition since, bool prefersOwnDomain, TimePoint now) const
 {
     const bool holdsSeat = isSeatHolder(m_self);
-    std::vector<VmName> names = holdsSeat ? watchers(now) : liveSeatHolders(now);
+    std::vector<VmName> names = holdsSeat ? deputies(now) : liveSeatHolders(now);
+    if (holdsSeat && names.empty()) {
+        names = watchers(now);
+    }
     std::vector<const Member *> candidates;
     for (const VmName &it : names.empty() ? seatHolders() : names) {
         if (!isSelf(it)) {
--- a/packages/fleet/src/members.h
+++ b/packages/fleet/src/members.h
@@ -77,8 +77,8 @@
     std::vector<Address> callerAddresses(const FailureDomain &domain, TimePoint now) const; // for callers in that failure domain
     bool isLive(const Member &member, TimePoint now) const;
 
-    /// Receivers of this Vm's status reports: the other seat holders if it is one, else nobody. Vms without a seat learn which
-    /// seat holders are live from the replies to their feed requests, so that messages per Vm don't grow with the fleet.
+    /// Receivers of this Vm's status reports: the other seat holders if it is one or their deputy, else nobody. Other Vms without a seat
+    /// learn which seat holders are live from the replies to their feed requests, so that messages per Vm don't grow with the fleet.
     std::vector<const Member *> reportReceivers() const;
 
     /// Receivers of this Vm's notices of newer changes: the Vms without a seat that it serves, and the other seat holders if it watches
@@ -91,7 +91,12 @@
     static constexpr std::size_t maxWatchers = 4; // seat holders alternate over failure domains, so losing one leaves watchers in others
     std::size_t storeAccessCount(TimePoint now) const; // live seat holders with access to the store
 
-    /// Vms that can be asked for the changes after a position. For a seat holder these are the store watchers; one that lost the
+    /// Vms without a seat that report access to the store, while no live seat holder has it: the first ones, at most maxWatchers.
+    std::vector<VmName> deputies(TimePoint now) const;
+    void setDeputy(bool isDeputy) { m_isDeputy = isDeputy; } // this Vm, which has no seat
+
+    /// Vms that can be asked for the changes after a position. For a seat holder these are the store watchers or, if no seat holder has
+    /// access to the store, the deputies; one that lost the
     /// store doesn't notice it at once, so if any have reported a newer change, only those are returned. For other Vms they are
     /// the live seat holders or, if none is known to be live, all of them.
     std::vector<const Member *> feedSources(StorePosition since, bool prefersOwnDomain, TimePoint now) const;
@@ -111,6 +116,7 @@
     FailureDomain m_domain;
     Duration m_silenceLimit;
     bool m_isLeaving = false;
+    bool m_isDeputy = false;
     bool m_hasStore = true;                // by its own calls; assumed until one fails
     std::map<VmName, Member> m_members;    // including this Vm
     std::optional<TimePoint> m_restoredAt; // empty: no grace
--- a/packages/fleet/src/probed_store.cpp
+++ b/packages/fleet/src/probed_store.cpp
@@ -45,13 +45,19 @@
 {
 }
 
-void ProbedStore::start(std::function<ProbePlan()> planProbes, std::function<void(bool)> onAccessChanged)
+void ProbedStore::start(Handlers handlers)
 {
-    m_planProbes = std::move(planProbes);
-    m_onAccessChanged = std::move(onAccessChanged);
+    m_handlers = std::move(handlers);
     net::co_spawn(m_context, sendProbes(), net::detached);
 }
 
+void ProbedStore::probe()
+{
+    if (!m_probeKind.empty() && m_openProbes < maxOpenProbes) {
+        net::co_spawn(m_context, sendProbe(), net::detached);
+    }
+}
+
 //-----------------------------------------------------------------------------
 // Calls
 //-----------------------------------------------------------------------------
@@ -263,13 +269,16 @@
     }
     m_probeTimer.cancel();
     noteAccess(true);
+    if (m_handlers) {
+        m_handlers->onAnswer();
+    }
 }
 
 void ProbedStore::noteAccess(bool isReachable)
 {
-    if (m_isReachable != isReachable && m_onAccessChanged) {
+    if (m_isReachable != isReachable && m_handlers) {
         m_isReachable = isReachable;
-        m_onAccessChanged(isReachable);
+        m_handlers->onAccessChanged(isReachable);
     }
 }
 
@@ -288,7 +297,7 @@
 
 bool ProbedStore::needsProbe() const
 {
-    return !m_probeKind.empty() && (hasWaitingCalls() || (m_lastDoubtAt > m_lastAnswerAt && m_planProbes().isPersistent));
+    return !m_probeKind.empty() && (hasWaitingCalls() || (m_lastDoubtAt > m_lastAnswerAt && m_handlers->planProbes().isPersistent));
 }
 
 net::awaitable<void> ProbedStore::sendProbes()
@@ -300,7 +309,7 @@
         if (!needsProbe()) {
             m_probeTimer.expires_at(TimePoint::max());
         } else {
-            const auto interval = std::chrono::duration_cast<Duration>(m_planProbes().interval * jitter(m_generator));
+            const auto interval = std::chrono::duration_cast<Duration>(m_handlers->planProbes().interval * jitter(m_generator));
             const bool isFirst = lastProbeAt < std::max(m_lastAnswerAt, m_doubtedSince);
             if ((isFirst || now - lastProbeAt >= interval) && m_openProbes < maxOpenProbes) {
                 lastProbeAt = now;
--- a/packages/fleet/src/probed_store.h
+++ b/packages/fleet/src/probed_store.h
@@ -38,7 +38,15 @@
     Call<StoredDocument> replace(std::string kind, std::string name, JsonValue spec, std::uint64_t revision) override;
     Call<void> remove(std::string kind, std::string name, std::uint64_t revision) override;
 
-    void start(std::function<ProbePlan()> planProbes, std::function<void(bool isReachable)> onAccessChanged);
+    struct Handlers
+    {
+        std::function<ProbePlan()> planProbes;
+        std::function<void(bool isReachable)> onAccessChanged;
+        std::function<void()> onAnswer = [] {}; // to any call
+    };
+
+    void start(Handlers handlers);
+    void probe(); // asks whether the store answers, although no call casts doubt on it; does nothing before the first call
 
 private:
     enum class CallType { Watch, List, Write };
@@ -78,8 +86,7 @@
     DocumentStore &m_store;
     const Clock &m_clock;
     Metrics &m_metrics;
-    std::function<ProbePlan()> m_planProbes;
-    std::function<void(bool)> m_onAccessChanged;
+    std::optional<Handlers> m_handlers;             // empty: not started
     std::list<std::weak_ptr<OpenCall>> m_openCalls; // weak: their coroutines may outlive this object
     std::list<std::weak_ptr<HeldCall>> m_heldCalls;
     boost::asio::steady_timer m_probeTimer; // cancelled when a probe is needed, or no more
--- a/packages/fleet/tests/feed_fleet.cpp
+++ b/packages/fleet/tests/feed_fleet.cpp
@@ -133,6 +133,9 @@
     net::steady_timer timer(co_await net::this_coro::executor);
     timer.expires_after(m_answerTime);
     co_await timer.async_wait(net::use_awaitable);
+    if (m_access == StoreAccess::Refused) {
+        co_return unavailable();
+    }
     if (m_access == StoreAccess::Swallowing) {
         timer.expires_after(callTimeout);
         co_await timer.async_wait(net::use_awaitable);
@@ -150,6 +153,11 @@
     bool isSwallowed = m_access == StoreAccess::Swallowing;
     for (;;) {
         isSwallowed = isSwallowed || m_swallowCount != swallowCount;
+        if (m_access == StoreAccess::Refused) {
+            timer.expires_after(m_answerTime);
+            co_await timer.async_wait(net::use_awaitable);
+            co_return unavailable();
+        }
         if (m_access == StoreAccess::Answered && !isSwallowed) {
             DocumentChanges changes = m_fleet.history().since(since);
             if (!changes.events.empty() || m_clock.now() - startedAt >= wait) {
--- a/packages/fleet/tests/feed_fleet.h
+++ b/packages/fleet/tests/feed_fleet.h
@@ -13,6 +13,7 @@
 /// How a Vm's calls to the store end.
 enum class StoreAccess {
     Answered,
+    Refused,    // each call fails at once
     Silent,     // no call is answered until the access returns or the call times out
     Swallowing, // the calls that are open and those that begin are never answered, also if the access returns; they time out
 };
