Proxy: the bodies that a Vm holds at once are bounded

What callers saw: three uploads of 60 MB at a time, each within the limits, exhausted a Vm's memory of 260 MB.

Cause: each body was held whole, copied for each attempt and again to look for the secret in percent-encoded form, and nothing bounded the sum.

Now a body is held once, in blocks, which all attempts send from, and half of the Vm's memory (`front.vm_memory_mb`, from the platform's settings) may hold bodies of requests and buffered responses. A request whose body finds no room is refused before it is read, or, if its length is unknown, as soon as it outgrows the room: 503 `body_memory_full`, not run, with Retry-After. A response that finds no room is passed on as it arrives. `pollenspoke_body_bytes` shows the bytes in use.

Not done: a body isn't sent to the target before all of it has arrived.

--- a/apps/pollenspoked/settings.cpp
+++ b/apps/pollenspoked/settings.cpp
@@ -249,6 +249,7 @@
 {
     section.readNumber("header_bytes", front.headerBytes, 1024, 1048576);
     section.readNumber("body_bytes", front.bodyBytes, 0, 1073741824);
+    section.readNumber("vm_memory_mb", front.vmMemoryMb, 16, 1048576);
     section.readNumber("max_connections", front.maxConnections, 1, 1000000);
     section.readNumber("header_timeout_ms", front.headerTimeoutMs, 1, maxMilliseconds);
     section.readNumber("body_timeout_ms", front.bodyTimeoutMs, 1, maxMilliseconds);
--- a/apps/tests/test_settings.cpp
+++ b/apps/tests/test_settings.cpp
@@ -43,6 +43,7 @@
 const std::vector<Range> ranges{
     {"front", "header_bytes", 1024, 1048576},
     {"front", "body_bytes", 0, 1073741824},
+    {"front", "vm_memory_mb", 16, 1048576},
     {"front", "max_connections", 1, 1000000},
     {"front", "header_timeout_ms", 1, hourMs},
     {"front", "body_timeout_ms", 1, hourMs},
--- a/deploy/sample-settings.sed
+++ b/deploy/sample-settings.sed
@@ -11,5 +11,6 @@
 s/{{bounds\.budget-slack}}/60/
 s/{{bounds\.budget-window-s}}/10/
 s/{{bounds\.grace-s}}/6/
+s/{{limits\.memory-mb}}/260/
 s/{{limits\.cpu-share}}/0.2/
 s/{{limits\.cpu-cores}}/1/
--- a/packages/base/include/pollenspoke/base.h
+++ b/packages/base/include/pollenspoke/base.h
@@ -167,6 +167,7 @@
     RouteNotFound,        // 404
     RouteClosed,          // 503 an operator closed the route
     RateLimited,          // 429 the account's rate limit and burst are used up
+    BodyMemoryFull,       // 503 no room for the request's body among those that this Vm holds
     QueueFull,            // 503 too many requests of the account are queued for a slot
     NoTarget,             // 503 the service has no eligible target
     TargetUnreachable,    // 502 no attempted target accepted a connection
--- a/packages/base/src/reasons.cpp
+++ b/packages/base/src/reasons.cpp
@@ -32,6 +32,7 @@
     {RefusalReason::RouteNotFound, 404, "route_not_found"},
     {RefusalReason::RouteClosed, 503, "route_closed"},
     {RefusalReason::RateLimited, 429, "rate_limited"},
+    {RefusalReason::BodyMemoryFull, 503, "body_memory_full"},
     {RefusalReason::QueueFull, 503, "queue_full"},
     {RefusalReason::NoTarget, 503, "no_target"},
     {RefusalReason::TargetUnreachable, 502, "target_unreachable"},
--- a/packages/proxy/include/pollenspoke/proxy.h
+++ b/packages/proxy/include/pollenspoke/proxy.h
@@ -62,6 +62,7 @@
 {
     std::uint32_t headerBytes = 16384;     // of one header block; above: 431
     std::uint64_t bodyBytes = 1048576;     // of one request body; above: 413
+    std::uint32_t vmMemoryMb = 512;        // of the process, in 10^6 bytes; half of it may hold bodies of requests and responses
     std::uint32_t maxConnections = 10000;  // from callers; above: 503 and close
     std::uint32_t headerTimeoutMs = 10000; // from first to last byte of a header block; above: 408
     std::uint32_t bodyTimeoutMs = 30000;   // from the header to the last body byte; above: 408
--- a/packages/proxy/src/credentials.cpp
+++ b/packages/proxy/src/credentials.cpp
@@ -91,4 +91,24 @@
     return false;
 }
 
+bool containsSecret(const std::vector<std::string> &blocks, std::string_view secret)
+{
+    constexpr std::size_t windowBytes = 65536;
+    std::size_t longestForm = secret.size(); // each pass replaces three characters by one
+    for (int i = 0; i < maxDecodePasses; ++i) {
+        longestForm *= 3;
+    }
+    std::string window;
+    for (const std::string &block : blocks) {
+        for (std::size_t i = 0; i < block.size(); i += windowBytes) {
+            window.erase(0, window.size() - std::min(window.size(), longestForm)); // the end of the one before
+            window.append(block, i, windowBytes);
+            if (containsSecret(std::string_view(window), secret)) {
+                return true;
+            }
+        }
+    }
+    return false;
+}
+
 } // namespace Pollenspoke
--- a/packages/proxy/src/credentials.h
+++ b/packages/proxy/src/credentials.h
@@ -15,6 +15,7 @@
 
 /// Whether the text contains the secret, literally or percent-encoded up to `maxDecodePasses` times. False for an empty secret.
 bool containsSecret(std::string_view text, std::string_view secret);
+bool containsSecret(const std::vector<std::string> &blocks, std::string_view secret); // of one text; copies a part of it at a time
 
 /// Compares header names case-insensitively and treats _ as -, since some targets do so.
 bool isSameHeader(std::string_view left, std::string_view right);
--- a/packages/proxy/src/dispatcher.cpp
+++ b/packages/proxy/src/dispatcher.cpp
@@ -94,11 +94,11 @@
     return Refusal{.reason = RefusalReason::ShuttingDown, .retryAfter = Duration(0), .closesConnection = true};
 }
 
-http::request<http::string_body>
+http::request<SentBody>
 makeTargetRequest(const DispatchRequest &request, const TargetName &target, const WireContract &contract, TimePoint now)
 {
     const auto &original = request.message;
-    http::request<http::string_body> message;
+    http::request<SentBody> message;
     message.version(11);
     message.method_string(original.method_string());
     message.target(original.target());
@@ -119,7 +119,7 @@
     }
     message.set(toBeast(contract.requestIdHeader), request.requestId);
     message.set(toBeast(contract.deadlineHeader), std::to_string(std::max<std::int64_t>(left, 0)));
-    message.body() = original.body();
+    message.body() = &original.body();
     message.prepare_payload();
     return message;
 }
@@ -127,11 +127,13 @@
 Dispatcher::Dispatcher(const ProxyOptions &options,
                        ProxyDependencies dependencies,
                        const Configuration &configuration,
-                       const CurrentStop &stop)
+                       const CurrentStop &stop,
+                       BodyMemory &bodyMemory)
     : m_options(options)
     , m_dependencies(dependencies)
     , m_configuration(configuration)
     , m_stop(stop)
+    , m_bodyMemory(bodyMemory)
     , m_targets(m_options, dependencies.clock, dependencies.metrics)
     , m_pool(dependencies.metrics)
 {
@@ -426,7 +428,7 @@
         co_return AttemptFailure{.reason = RetryReason::TargetClosed, .end = AttemptEnd::Abandoned};
     }
     const TimePoint sentAt = m_dependencies.clock.now();
-    const http::request<http::string_body> message = makeTargetRequest(request, attempt.id.target, m_options.wire, sentAt);
+    const http::request<SentBody> message = makeTargetRequest(request, attempt.id.target, m_options.wire, sentAt);
     RequestSerializer serializer(message);
     const bool mayHaveRunBefore = trace.mayHaveRun;
     trace.mayHaveRun = true; // set before writing: the coroutine may be cancelled during the write
@@ -603,18 +605,22 @@
 {
     const std::uint64_t maxBufferedBytes = m_options.dispatch.wholeAnswerBytes;
     const std::optional<std::uint64_t> length = connection.contentLength();
+    BodyLease lease(m_bodyMemory, request.resolved.caller.accountName);
     std::string body;
-    while (!connection.isComplete() && (!length || *length <= maxBufferedBytes) && body.size() < maxBufferedBytes) {
+    // A response that doesn't fit is passed on as it arrives.
+    bool hasRoom = !length || (*length <= maxBufferedBytes && lease.coverUpTo(*length));
+    while (!connection.isComplete() && hasRoom && body.size() < maxBufferedBytes) {
         const std::size_t limit = std::min<std::uint64_t>(m_options.dispatch.streamPartBytes, maxBufferedBytes - body.size());
         const std::optional<ReceiveError> receiveError = co_await connection.receivePart(body, limit, request.deadline);
         if (receiveError) {
             co_return makeFailure(*receiveError, attempt, connection);
         }
+        hasRoom = lease.coverUpTo(body.size());
     }
     if (!connection.isComplete()) {
         co_return co_await streamBody(request, connection, std::move(body), reply);
     }
-    co_return BufferedResponse{.header = connection.header(), .body = std::move(body)};
+    co_return BufferedResponse{.header = connection.header(), .body = std::move(body), .lease = std::move(lease)};
 }
 
 net::awaitable<Dispatcher::AttemptResult>
--- a/packages/proxy/src/dispatcher.h
+++ b/packages/proxy/src/dispatcher.h
@@ -3,6 +3,7 @@
 /// executed the request.
 #pragma once
 
+#include "body_memory.h"
 #include "reply_writer.h"
 #include "resolve.h"
 #include "target_connection.h"
@@ -16,7 +17,7 @@
 struct DispatchRequest
 {
     ResolvedRequest resolved;
-    http::request<http::string_body> message; // as received from the caller
+    http::request<ReceivedBody> message; // as received from the caller
     std::string requestId;
     TimePoint deadline;
 };
@@ -33,8 +34,9 @@
 /// For requests that a stopping Vm doesn't start. The caller may try another Vm at once.
 Refusal makeStopRefusal();
 
-/// Builds the request for a target: removes credentials and hop-by-hop headers, adds account, request id and deadline.
-http::request<http::string_body>
+/// Builds the request for a target: removes credentials and hop-by-hop headers, adds account, request id and deadline. Refers to the
+/// body of the given request.
+http::request<SentBody>
 makeTargetRequest(const DispatchRequest &request, const TargetName &target, const WireContract &contract, TimePoint now);
 
 /// Forwards requests to targets. Shared by all workers.
@@ -44,7 +46,11 @@
     using Configuration = std::atomic<std::shared_ptr<const Snapshot>>;
 
     /// The arguments must outlive the dispatcher.
-    Dispatcher(const ProxyOptions &options, ProxyDependencies dependencies, const Configuration &configuration, const CurrentStop &stop);
+    Dispatcher(const ProxyOptions &options,
+               ProxyDependencies dependencies,
+               const Configuration &configuration,
+               const CurrentStop &stop,
+               BodyMemory &bodyMemory);
 
     /// Forwards the request and sends the target's response to `reply`. If a refusal is returned, nothing was sent and the
     /// calling code must send the refusal. Each retry resolves the request again with the current configuration.
@@ -67,6 +73,7 @@
     {
         http::response_header<> header;
         std::string body;
+        BodyLease lease; // for the body
     };
     struct StreamedResponse // already forwarded, completely or not
     {
@@ -152,6 +159,7 @@
     ProxyDependencies m_dependencies;
     const Configuration &m_configuration;
     const CurrentStop &m_stop;
+    BodyMemory &m_bodyMemory;
     TargetTable m_targets;
     ConnectionPool m_pool;
     std::atomic<std::uint32_t> m_vmCount{1};
--- a/packages/proxy/src/proxy.cpp
+++ b/packages/proxy/src/proxy.cpp
@@ -14,6 +14,8 @@
 constexpr std::size_t maxPendingRejections = 256; // connections above the limit that are sent a refusal concurrently
 constexpr std::size_t maxQueuedAccepts = 65536;   // bound of the final accept loop before the listener closes
 constexpr auto rejectionRetryAfter = std::chrono::seconds(1);
+constexpr std::uint64_t bytesPerMb = 1000000;
+constexpr std::uint64_t bodyMemoryDivisor = 2;             // of the memory of the Vm: the part that may hold bodies
 constexpr auto abortTime = std::chrono::milliseconds(150); // after the end of a stop, to answer what is still in flight
 
 } // namespace
@@ -32,7 +34,8 @@
     Impl(ProxyOptions given, ProxyDependencies givenDependencies)
         : options(std::move(given))
         , dependencies(givenDependencies)
-        , dispatcher(options, dependencies, snapshot, stop)
+        , bodyMemory(std::uint64_t(options.front.vmMemoryMb) * bytesPerMb / bodyMemoryDivisor, dependencies.metrics)
+        , dispatcher(options, dependencies, snapshot, stop, bodyMemory)
         , addresses(options.addressTtlMs, options.addressCount)
     {
         for (std::uint32_t i = 0; i < options.workers; ++i) {
@@ -40,7 +43,7 @@
         }
     }
 
-    SessionContext sessionContext() { return {options, dependencies, dispatcher, addresses, snapshot, isLeaving, stop}; }
+    SessionContext sessionContext() { return {options, dependencies, dispatcher, bodyMemory, addresses, snapshot, isLeaving, stop}; }
 
     net::awaitable<void> acceptLoop();
     void acceptQueued();
@@ -58,6 +61,7 @@
     ProxyDependencies dependencies;
     std::atomic<std::shared_ptr<const Snapshot>> snapshot;
     CurrentStop stop;
+    BodyMemory bodyMemory;
     Dispatcher dispatcher;
     AddressAnswer addresses;
     std::atomic<bool> isLeaving{false};
--- a/packages/proxy/src/session.cpp
+++ b/packages/proxy/src/session.cpp
@@ -18,6 +18,7 @@
 constexpr std::size_t requestIdBytes = 16;
 constexpr auto lingerTimeout = std::chrono::seconds(1); // for the caller to read the last response before the connection closes
 constexpr std::uint64_t maxDeadlineMs = 3600000;
+constexpr auto bodyMemoryRetryAfter = std::chrono::seconds(1); // an upload usually takes as long
 
 // The shorter of the route's and the caller's deadline. nullopt if the caller's isn't a number.
 std::optional<milliseconds> deadlineFor(const Route &route, const http::fields &fields, const WireContract &contract)
@@ -327,6 +328,7 @@
     }
     if (!refusal) {
         BodyParser bodyParser(std::move(header));
+        bodyParser.get().body().lease = BodyLease(m_shared.bodyMemory, preliminary->caller.accountName);
         refusal = co_await readBody(bodyParser);
         if (!refusal) {
             DispatchRequest request{.message = bodyParser.release(), .requestId = requestId};
@@ -412,6 +414,10 @@
 net::awaitable<std::optional<Refusal>> Session::readBody(BodyParser &parser)
 {
     const milliseconds maxDuration(m_shared.options.front.bodyTimeoutMs);
+    const Refusal noRoom{.reason = RefusalReason::BodyMemoryFull, .retryAfter = bodyMemoryRetryAfter, .closesConnection = true};
+    if (!parser.get().body().lease.coverUpTo(parser.content_length().value_or(0))) {
+        co_return noRoom; // before the caller sends it
+    }
     const bool expectsContinue = parser.get().version() == 11 && beast::iequals(parser.get()[http::field::expect], "100-continue");
     if (expectsContinue && !parser.is_done()) {
         m_stream.expires_after(maxDuration);
@@ -434,6 +440,9 @@
     if (ec == http::error::body_limit || ec == http::error::buffer_overflow) {
         co_return refusalForParseError(ec, parser.get(), m_shared.options.wire);
     }
+    if (ec == net::error::no_memory) {
+        co_return noRoom;
+    }
     if (ec) {
         co_return Refusal{.reason = RefusalReason::CallerGone, .closesConnection = true};
     }
@@ -450,7 +459,7 @@
     }
     trace.account = resolved->caller.accountName;
     trace.service = resolved->serviceName;
-    if (containsSecret(request.message.body(), resolved->caller.secret)) {
+    if (containsSecret(request.message.body().blocks, resolved->caller.secret)) {
         co_return Refusal{.reason = RefusalReason::KeyInContent};
     }
     const std::optional<milliseconds> deadline = deadlineFor(*resolved->route, request.message, m_shared.options.wire);
--- a/packages/proxy/src/session.h
+++ b/packages/proxy/src/session.h
@@ -15,6 +15,7 @@
     const ProxyOptions &options;
     ProxyDependencies dependencies;
     Dispatcher &dispatcher;
+    BodyMemory &bodyMemory;
     AddressAnswer &addresses;
     std::atomic<std::shared_ptr<const Snapshot>> &snapshot;
     std::atomic<bool> &isLeaving;
@@ -33,7 +34,7 @@
 
 private:
     using HeaderParser = http::request_parser<http::empty_body>;
-    using BodyParser = http::request_parser<http::string_body>;
+    using BodyParser = http::request_parser<ReceivedBody>;
     using ReadResult = std::tuple<SystemError, std::size_t>;
     enum class ConnectionAction { KeepOpen, Close, Drop };
 
--- a/packages/proxy/src/target_connection.h
+++ b/packages/proxy/src/target_connection.h
@@ -2,6 +2,7 @@
 /// One request/response exchange on a new or pooled connection to a target.
 #pragma once
 
+#include "body_memory.h"
 #include "connection_pool.h"
 #include "http.h"
 
@@ -26,7 +27,7 @@
 };
 
 /// Serializer of a request. It must outlive the send operations.
-using RequestSerializer = http::request_serializer<http::string_body>;
+using RequestSerializer = http::request_serializer<SentBody>;
 
 /// Destroying the object before the exchange is complete resets the connection, so that the target notices at once even if
 /// it hasn't received the whole request.
--- a/packages/telemetry/include/pollenspoke/telemetry.h
+++ b/packages/telemetry/include/pollenspoke/telemetry.h
@@ -56,6 +56,7 @@
 /// Current values.
 enum class Gauge {
     CallerConnections,   // open connections from callers
+    BodyBytes,           // of all request and response bodies that are held in memory
     RequestsInFlight,    // requests whose header has arrived and whose response isn't complete
     PooledConnections,   // idle connections to targets
     SnapshotRevision,    // number of the configuration in force; counts up on this Vm
