Web: JSON is read and written by Boost.JSON

Text that isn't ASCII was written as if each byte were a character ("\u00c3\u00b4" for one letter) and a text that ends within a UTF-8 sequence was read as null without an error. Reading built two trees of the text, that of cxxtools and JsonValue.

Boost.JSON, which comes with the Boost that is declared, reports events without a tree, checks UTF-8, depth and what follows the value. The number of values in a text has a bound now, as the tree takes over 100 bytes for each.

web.web covers the round trip of text that isn't ASCII; its check failed as soon as only the reader was replaced, which showed the writer's fault.

--- a/packages/web/include/pollenspoke/web.h
+++ b/packages/web/include/pollenspoke/web.h
@@ -1,5 +1,5 @@
 /// @file
-/// JSON and plain HTTP on top of cxxtools. The types here do not expose cxxtools headers, which do not compile as C++20.
+/// JSON on top of Boost.JSON, and plain HTTP on top of cxxtools, whose headers do not compile as C++20.
 ///
 /// Index of this file:
 /// - [1] JSON         (JsonValue, parseJsonText(), formatJsonText())
@@ -54,8 +54,9 @@
     bool operator==(const JsonValue &other) const;
 };
 
-/// Parses exactly one JSON value, nested at most 32 levels deep. On failure returns false with an error message in `problem`.
-bool parseJsonText(const std::string &text, JsonValue &value, std::string &problem);
+/// Parses exactly one JSON value, nested at most 32 levels deep, in valid UTF-8, and with at most `maxValues` values in all, each of which
+/// takes about 130 bytes of memory. On failure returns false with an error message in `problem`, and `value` is as before.
+bool parseJsonText(const std::string &text, JsonValue &value, std::string &problem, std::size_t maxValues = 1000000);
 std::string formatJsonText(const JsonValue &value); // on a single line
 
 //-----------------------------------------------------------------------------
