--- a/packages/fleet/tests/test_probed_store.cpp
+++ b/packages/fleet/tests/test_probed_store.cpp
@@ -65,8 +65,8 @@
 {
     Fixture()
     {
-        probed.start([] { return ProbedStore::ProbePlan{.interval = 200ms, .isPersistent = true}; },
-                     [this](bool isReachable) { access.push_back(isReachable); });
+        probed.start({.planProbes = [] { return ProbedStore::ProbePlan{.interval = 200ms, .isPersistent = true}; },
+                      .onAccessChanged = [this](bool isReachable) { access.push_back(isReachable); }});
         spawn(probed.list("config", ReadConsistency::Current), listed); // so that there is something to ask for
         context.run_for(50ms);
     }
