--- a/packages/fleet/src/kind_follower.cpp
+++ b/packages/fleet/src/kind_follower.cpp
@@ -11,6 +11,7 @@
 namespace net = boost::asio;
 
 constexpr auto asTuple = net::as_tuple(net::use_awaitable);
+constexpr auto shortestWatch = std::chrono::milliseconds(20); // of one without changes
 
 // Waits for a random 50-100 % of the delay, so that Vms that lost the store at the same time don't all call it at once.
 net::awaitable<void> waitWithJitter(Duration maxDelay)
@@ -93,6 +94,7 @@
 
     net::awaitable<bool> watch()
     {
+        const auto startedAt = std::chrono::steady_clock::now();
         const Result<DocumentChanges> changes = co_await m_store.watch(m_options.kind, m_position, m_options.watchWait);
         if (!changes) {
             if (changes.error().code == ErrorCode::TooOld) {
@@ -121,6 +123,8 @@
         if (!changes->events.empty()) {
             m_handler.onUpdated();
             co_await waitWithJitter(m_options.watchPause);
+        } else if (std::chrono::steady_clock::now() - startedAt < shortestWatch) {
+            co_await waitWithJitter(m_options.watchPause); // it didn't wait, and nothing changed: the next one mustn't follow at once
         }
         co_return true;
     }
