Seats: a Vm that gains a seat uses it after those who had it have confirmed

What callers saw: while the store turned the seat holders away, larger Vms were added and took seats.

Cause: who holds a seat follows from each Vm's own copy of the registrations, and a seat was used from the moment in which its new holder saw it. Nothing bounded how long the old one went on.

Now the new holder asks those whose seats or shares changed with it how far they know the registrations (the feed's requests tell that already), and uses the seat 1.5 s after the last one has confirmed; else 35 s after it gained the seat, when one that hears from nobody has stopped by itself (30 s). Until then it has no share of rates, retry budgets and targets' limits; it borrows tokens, and others keep theirs, so that an account loses the share of one seat at most for each new holder. A process that restarts keeps its seat.

Remains: old holders that hear each other, and for over 35 s neither the store nor any Vm that knows better, go on.

--- a/packages/fleet/src/feed.cpp
+++ b/packages/fleet/src/feed.cpp
@@ -715,6 +715,26 @@
     co_return reply;
 }
 
+StorePosition FeedStore::knownPosition(const std::string &kind) const
+{
+    const auto it = m_logs.find(kind);
+    return it == m_logs.end() ? StorePosition() : it->second.end();
+}
+
+net::awaitable<std::optional<StorePosition>> FeedStore::askPosition(VmName vm, std::string kind)
+{
+    const Member *member = m_members.find(vm);
+    if (member == nullptr) {
+        co_return std::nullopt;
+    }
+    const std::optional<FeedReply> reply = co_await requestChanges(*member, true);
+    if (!reply) {
+        co_return std::nullopt;
+    }
+    const auto it = reply->changes.find(kind);
+    co_return it == reply->changes.end() || !it->second ? std::nullopt : std::optional(it->second->position);
+}
+
 // The changes continue the log as it was when the request was sent. Another reply or a list may have moved it since.
 void FeedStore::dropOutdatedChanges(FeedReply &reply, const Cursors &cursors, const VmName &source, Duration elapsed)
 {
--- a/packages/fleet/src/feed.h
+++ b/packages/fleet/src/feed.h
@@ -131,6 +131,10 @@
     void setHeldContent(HeldContent content) { m_heldContent = std::move(content); }
     void noteStoreRestored(); // asks another Vm for what it holds
 
+    StorePosition knownPosition(const std::string &kind) const;
+    /// Asks another Vm up to which position it knows a kind. Empty: no answer, or it doesn't follow the kind yet.
+    boost::asio::awaitable<std::optional<StorePosition>> askPosition(VmName vm, std::string kind);
+
     StorePosition newestPosition() const;                                 // up to which any kind is known
     TimePoint lastStoreContactAt() const { return m_lastStoreContactAt; } // when the store last answered this Vm or one of its sources
     std::optional<TimePoint> deputySince() const { return m_deputy.deputySince(); }
--- a/packages/fleet/src/fleet_admission.cpp
+++ b/packages/fleet/src/fleet_admission.cpp
@@ -131,6 +131,12 @@
     m_pool.noteStoreRestored(noticedAt);
 }
 
+void FleetAdmission::setSeatUsed(bool isUsed)
+{
+    const std::lock_guard lock(m_mutex);
+    m_pool.setSeatUsed(isUsed, m_clock.now());
+}
+
 void FleetAdmission::setSeats(const VmName &self, std::vector<VmName> holders)
 {
     const std::lock_guard lock(m_mutex);
--- a/packages/fleet/src/fleet_admission.h
+++ b/packages/fleet/src/fleet_admission.h
@@ -20,6 +20,7 @@
     // To be called on the context.
     void applySnapshot(std::shared_ptr<const Snapshot> snapshot);
     void setSeats(const VmName &self, std::vector<VmName> seatHolders);
+    void setSeatUsed(bool isUsed);
     void noteStoreRestored(TimePoint noticedAt); // from an older copy
     TokenReply answerRequest(const TokenRequest &request);
     void handleReply(const TokenReply &reply);
--- a/packages/fleet/src/fleet_vm.cpp
+++ b/packages/fleet/src/fleet_vm.cpp
@@ -17,7 +17,7 @@
 constexpr auto joinDelay = std::chrono::seconds(1);                  // Vms of a new fleet start within 0.3 s of each other
 constexpr auto rosterCheckInterval = std::chrono::milliseconds(100); // longest delay of removing an expired target on a seat holder
 constexpr auto idleCheckInterval = std::chrono::milliseconds(500);   // the same on a Vm without a seat
-constexpr auto isolationTimeout = std::chrono::seconds(30);          // a Vm without reports from others for this long stops using its seat
+constexpr auto confirmInterval = std::chrono::milliseconds(300);     // between questions to Vms that may still use a seat
 constexpr auto addressSpreadTime = std::chrono::milliseconds(750);   // until no Vm offers the address of one that leaves
 constexpr auto exitTime = std::chrono::milliseconds(400);            // of the grace time, for a late signal, the last answers and the exit
 constexpr double maxMillicores = 1e6;                                // plausibility limit for a registration
@@ -124,6 +124,7 @@
     void sendReport(const std::vector<const Member *> &receivers, std::optional<TargetUpdates> reports, bool isFullReport = true);
     void handleMessage(const VmName &sender, const LinkMessage &message, const net::ip::udp::endpoint &from);
     net::awaitable<void> deregisterLostVms();
+    net::awaitable<void> confirmSeat();
     void checkLocalOutage();
     void recordStoreCall(bool succeeded, const std::string &error);
 
@@ -156,6 +157,9 @@
     std::uint64_t registrationDemands = 0; // counts the times that the store was found to lack this Vm's registration
     std::uint64_t notedEra = 0;            // of the store, in the configuration
     bool hasRegistrationList = false;
+    SeatFence seatFence;
+    bool keepsSeat = false; // the first list has this Vm's registration, from before this process started
+    bool isConfirmingSeat = false;
     TimePoint sharesBoundedUntil; // no larger than one of the smallest number of seat holders
     TimePoint lastPeerReportAt;
     std::optional<TimePoint> storeReachableSince; // empty: unreachable, or not reached yet
@@ -369,7 +373,9 @@
     const Result<DocumentList> first = co_await feed.list(format.vmsKind(), ReadConsistency::MayBeStale);
     if (!first) {
         recordStoreCall(false, describe(first.error())); // applyRegistrationList() registers
-    } else if (!findRegistration(*first)) {
+    } else if (findRegistration(*first)) {
+        keepsSeat = true;
+    } else {
         const JsonValue spec = encodeRegistration(ownRegistration(), {first->position.era(), 0});
         const Result<StoredDocument> created = co_await feed.create(format.vmsKind(), options.proxy.vm.value, spec);
         if (created) {
@@ -480,26 +486,59 @@
 void FleetVm::Impl::publishMembers()
 {
     const std::vector<VmName> holders = members.seatHolders();
+    seatFence.update(
+        options.proxy.vm, members.registeredVms(), feed.knownPosition(format.vmsKind()), std::exchange(keepsSeat, false), clock.now());
+    admission.setSeatUsed(seatFence.mayUseSeat(clock.now()));
     admission.setSeats(options.proxy.vm, holders);
     publishShares();
+    if (holdsSeat() && !seatFence.mayUseSeat(clock.now()) && !isConfirmingSeat) {
+        isConfirmingSeat = true;
+        net::co_spawn(context, confirmSeat(), net::detached);
+    }
     logEvent(Event::SeatsAssigned,
              {{"vms", std::to_string(registrationRevisions.size())},
               {"holders", std::to_string(holders.size())},
-              {"own", holdsSeat() ? "yes" : "no"}});
+              {"own", holdsSeat() ? (seatFence.mayUseSeat(clock.now()) ? "yes" : "not yet in use") : "no"}});
     sendReport(members.reportReceivers(), std::nullopt); // announces a restarted Vm at once instead of after a full status period
 }
 
 void FleetVm::Impl::publishShares()
 {
     const std::size_t n = std::max<std::size_t>(members.seatHolders().size(), clock.now() < sharesBoundedUntil ? minSeats : 1);
-    proxy.setRetryShare(holdsSeat() ? 1.0 / static_cast<double>(n) : 0);
+    const bool usesSeat = seatFence.mayUseSeat(clock.now());
+    proxy.setRetryShare(usesSeat ? 1.0 / static_cast<double>(n) : 0);
     proxy.setVmCount(static_cast<std::uint32_t>(n));
     const bool isListComplete = clock.now() >= sharesBoundedUntil; // else the shares of a few would add up to more than the limits
-    proxy.setLimitSharers({.self = options.proxy.vm,
+    proxy.setLimitSharers({.self = usesSeat || !holdsSeat() ? options.proxy.vm : VmName(),
                            .vms = isListComplete ? members.seatHolders() : std::vector<VmName>(),
                            .fleetSize = members.others().size() + 1});
 }
 
+// Asks the Vms that may still use what this seat has taken over, until it may be used.
+net::awaitable<void> FleetVm::Impl::confirmSeat()
+{
+    net::steady_timer timer(context);
+    while (holdsSeat() && !seatFence.mayUseSeat(clock.now())) {
+        const std::set<VmName> unconfirmed = seatFence.unconfirmed();
+        for (const VmName &it : unconfirmed) {
+            const std::optional<StorePosition> known = co_await feed.askPosition(it, format.vmsKind());
+            if (known) {
+                seatFence.recordPosition(it, *known, clock.now());
+            }
+        }
+        timer.expires_after(confirmInterval);
+        co_await timer.async_wait(net::use_awaitable);
+    }
+    isConfirmingSeat = false;
+    admission.setSeatUsed(seatFence.mayUseSeat(clock.now()));
+    publishShares();
+    logEvent(Event::SeatsAssigned,
+             {{"vms", std::to_string(registrationRevisions.size())},
+              {"holders", std::to_string(members.seatHolders().size())},
+              {"own", holdsSeat() ? "yes" : "no"},
+              {"unconfirmed", std::to_string(seatFence.unconfirmed().size())}});
+}
+
 // Vms whose registrations a restore lost notice it at the same time, so each waits for a random time that grows with their number.
 net::awaitable<void> FleetVm::Impl::registerSelf()
 {
@@ -551,7 +590,7 @@
         for (const VmName &it : members.seatHolders()) {
             lastPeerReportAt = members.isSelf(it) ? lastPeerReportAt : std::max(lastPeerReportAt, members.find(it)->lastReportAt);
         }
-        const bool isIsolated = members.seatHolders().size() > 1 && now - lastPeerReportAt > isolationTimeout;
+        const bool isIsolated = members.seatHolders().size() > 1 && now - lastPeerReportAt > SeatFence::isolationTimeout;
         admission.setSeats(options.proxy.vm, isIsolated ? std::vector<VmName>() : members.seatHolders());
         if (isIsolated || members.liveSeatHolders(now).size() * 2 < members.seatHolders().size()) {
             continue;
--- a/packages/fleet/src/members.cpp
+++ b/packages/fleet/src/members.cpp
@@ -177,18 +177,23 @@
     return member.name == m_self ? !m_isLeaving : !member.isLeaving && now - member.lastReportAt < m_silenceLimit;
 }
 
+std::vector<RegisteredVm> Members::registeredVms() const
+{
+    std::vector<RegisteredVm> vms;
+    vms.reserve(m_members.size());
+    for (const auto &[name, it] : m_members) {
+        vms.push_back({.name = name,
+                       .failureDomain = it.registration.failureDomain,
+                       .registeredAt = it.registeredAt,
+                       .millicores = it.registration.millicores});
+    }
+    return vms;
+}
+
 const std::vector<VmName> &Members::seatHolders() const
 {
     if (!m_seatHolders) {
-        std::vector<RegisteredVm> vms;
-        vms.reserve(m_members.size());
-        for (const auto &[name, it] : m_members) {
-            vms.push_back({.name = name,
-                           .failureDomain = it.registration.failureDomain,
-                           .registeredAt = it.registeredAt,
-                           .millicores = it.registration.millicores});
-        }
-        m_seatHolders = assignSeats(std::move(vms));
+        m_seatHolders = assignSeats(registeredVms());
     }
     return *m_seatHolders;
 }
--- a/packages/fleet/src/members.h
+++ b/packages/fleet/src/members.h
@@ -72,6 +72,7 @@
     const Member *find(const VmName &vm) const;
     std::vector<const Member *> others() const;
     const std::vector<VmName> &seatHolders() const; // from the registrations alone, live or not
+    std::vector<RegisteredVm> registeredVms() const;
     bool isSeatHolder(const VmName &vm) const;
     std::vector<VmName> liveSeatHolders(TimePoint now) const;                               // seat holders that callers may be sent to
     std::vector<Address> callerAddresses(const FailureDomain &domain, TimePoint now) const; // for callers in that failure domain
--- a/packages/policy/include/pollenspoke/policy.h
+++ b/packages/policy/include/pollenspoke/policy.h
@@ -1027,6 +1027,33 @@
 /// than 64 Vms, enough for the holders to have a fifth of the fleet's processor capacity.
 std::vector<VmName> assignSeats(std::vector<RegisteredVm> vms);
 
+/// Decides from when a Vm may use a seat that it has gained. The Vms whose seats changed with it go on using theirs until they know the
+/// registrations as they are now, so the seat is used only after they have confirmed that, or after their right to a seat has ended
+/// by itself: a Vm that hears nothing from others for `isolationTimeout` stops.
+class SeatFence
+{
+public:
+    static constexpr Duration isolationTimeout = std::chrono::seconds(30);
+    static constexpr Duration fenceTime = std::chrono::seconds(35);        // the isolation timeout, the period of its check, and drift
+    static constexpr Duration applyTime = std::chrono::milliseconds(1500); // from knowing registrations to acting on them
+
+    /// Call it with each new list of registrations. `position` is the list's. `isKept`: this Vm had the seat before the process started.
+    void update(const VmName &self, const std::vector<RegisteredVm> &vms, StorePosition position, bool isKept, TimePoint now);
+
+    void recordPosition(const VmName &vm, StorePosition known, TimePoint now); // up to which another Vm knows the registrations
+    bool mayUseSeat(TimePoint now) const;                                      // false also without a seat
+    const std::set<VmName> &unconfirmed() const { return m_unconfirmed; }      // to be asked for what they know
+    StorePosition position() const { return m_position; }                      // that they must know
+
+private:
+    bool m_holdsSeat = false;
+    TimePoint m_gainedAt;
+    TimePoint m_confirmedAt; // by the last one
+    bool m_isConfirmed = false;
+    StorePosition m_position;
+    std::set<VmName> m_unconfirmed;
+};
+
 //-----------------------------------------------------------------------------
 // [11] Fleet-wide token pool
 //-----------------------------------------------------------------------------
@@ -1062,7 +1089,8 @@
     /// its list of Vms is incomplete, the previous holders stay. No holders (this Vm is isolated) take effect at once. The first ones
     /// may then be from an incomplete list too: for `startGrace`, the shares are no larger than those among `minSeats` holders.
     void setSeats(const VmName &self, std::vector<VmName> holders, TimePoint now);
-    void noteStoreRestored(TimePoint noticedAt); // from an older copy; also at start, if it ever was
+    void setSeatUsed(bool isUsed, TimePoint now); // see SeatFence; without it, this Vm has no share
+    void noteStoreRestored(TimePoint noticedAt);  // from an older copy; also at start, if it ever was
     std::vector<VmName> homes(const AccountName &account, const Limits &limits) const;
     void addAccount(const AccountName &account, const Limits &limits, TimePoint now); // starts refilling its bucket
     QuotaDecision decide(const AccountName &account, const Limits &limits, TimePoint now);
@@ -1088,6 +1116,7 @@
     QuotaPoolOptions m_options;
     VmName m_self;
     std::vector<VmName> m_holders;
+    bool m_isSeatUsed = true;
     std::uint64_t m_seatsVersion = 0;
     TimePoint m_seatsKeptUntil;
     std::optional<TimePoint> m_startEndsAt; // the first list of Vms may be incomplete until then
--- a/packages/policy/src/quota_pool.cpp
+++ b/packages/policy/src/quota_pool.cpp
@@ -36,7 +36,7 @@
 Limits QuotaPool::share(const AccountName &name, const Limits &limits) const
 {
     const std::vector<VmName> homeVms = homes(name, limits);
-    if (std::find(homeVms.begin(), homeVms.end(), m_self) == homeVms.end()) {
+    if (!m_isSeatUsed || std::find(homeVms.begin(), homeVms.end(), m_self) == homeVms.end()) {
         return {};
     }
     const std::size_t minCount = m_startEndsAt ? std::min(maxHomes(limits), minSeats) : 0;
@@ -52,7 +52,7 @@
     const std::vector<VmName> homeVms = homes(name, limits);
     const double fullTokenCount = std::ceil(static_cast<double>(homeVms.size()) * m_options.initialTokensPerHome);
     const auto end = homeVms.begin() + std::min(static_cast<std::ptrdiff_t>(fullTokenCount), std::ssize(homeVms));
-    const bool getsToken = std::find(homeVms.begin(), end, m_self) != end;
+    const bool getsToken = m_isSeatUsed && std::find(homeVms.begin(), end, m_self) != end;
     return Account{.bucket = TokenBucket(share(name, limits), getsToken ? 1 : 0, now),
                    .limits = limits,
                    .seatsVersion = m_seatsVersion,
@@ -100,6 +100,18 @@
     }
 }
 
+void QuotaPool::setSeatUsed(bool isUsed, TimePoint now)
+{
+    if (isUsed == m_isSeatUsed) {
+        return;
+    }
+    m_isSeatUsed = isUsed;
+    ++m_seatsVersion;
+    for (auto &[name, it] : m_accounts) {
+        account(name, it.limits, now);
+    }
+}
+
 void QuotaPool::addAccount(const AccountName &name, const Limits &limits, TimePoint now)
 {
     account(name, limits, now);
--- a/packages/policy/src/seats.cpp
+++ b/packages/policy/src/seats.cpp
@@ -51,4 +51,48 @@
     return holders;
 }
 
+void SeatFence::update(const VmName &self, const std::vector<RegisteredVm> &vms, StorePosition position, bool isKept, TimePoint now)
+{
+    const std::vector<VmName> holders = assignSeats(vms);
+    const bool holdsSeat = std::find(holders.begin(), holders.end(), self) != holders.end();
+    const bool hadSeat = std::exchange(m_holdsSeat, holdsSeat);
+    if (!holdsSeat || hadSeat) {
+        std::erase_if(m_unconfirmed, [&vms](const VmName &it) { // one that was removed had been silent for longer than the fence
+            return std::none_of(vms.begin(), vms.end(), [&it](const RegisteredVm &vm) { return vm.name == it; });
+        });
+        if (holdsSeat && m_unconfirmed.empty() && !m_isConfirmed) {
+            m_isConfirmed = true;
+            m_confirmedAt = now;
+        }
+        return;
+    }
+    std::vector<RegisteredVm> others = vms;
+    std::erase_if(others, [&self](const RegisteredVm &it) { return it.name == self; });
+    const std::vector<VmName> previous = assignSeats(std::move(others));
+    const bool isReplacement = previous.size() == holders.size(); // else the shares of all change
+    m_unconfirmed.clear();
+    for (const VmName &it : previous) {
+        if (!isKept && (!isReplacement || std::find(holders.begin(), holders.end(), it) == holders.end())) {
+            m_unconfirmed.insert(it);
+        }
+    }
+    m_position = position;
+    m_gainedAt = now;
+    m_isConfirmed = m_unconfirmed.empty();
+    m_confirmedAt = now - applyTime;
+}
+
+void SeatFence::recordPosition(const VmName &vm, StorePosition known, TimePoint now)
+{
+    if (known >= m_position && m_unconfirmed.erase(vm) > 0 && m_unconfirmed.empty()) {
+        m_isConfirmed = true;
+        m_confirmedAt = now;
+    }
+}
+
+bool SeatFence::mayUseSeat(TimePoint now) const
+{
+    return m_holdsSeat && ((m_isConfirmed && now - m_confirmedAt >= applyTime) || now - m_gainedAt >= fenceTime);
+}
+
 } // namespace Pollenspoke
