Dispatch: a status outside 100 to 599 is no answer

Operators of similar systems saw an answer of status 000 passed on as an answer. Here the parser takes any three digits: 000 to 099 were skipped as informational, so that the caller waited until its deadline, and 600 to 999 were passed on. Such an answer now counts as malformed, as other unreadable ones do: 502 answer_incomplete, unknown, sent again if the request may be repeated, the connection closed, the target paused. Nothing that such an answer announces is read.

--- a/packages/proxy/src/target_connection.cpp
+++ b/packages/proxy/src/target_connection.cpp
@@ -9,6 +9,10 @@
 using namespace net::experimental::awaitable_operators;
 
 constexpr int maxInformationalResponses = 8;
+constexpr unsigned firstStatus = 100;
+constexpr unsigned switchingProtocolsStatus = 101; // never asked for, since Upgrade isn't forwarded
+constexpr unsigned firstFinalStatus = 200;
+constexpr unsigned lastStatus = 599;
 constexpr std::size_t maxReadAhead = 65536; // of a body; a chunk's header or a trailer may not be longer than this and a header block
 constexpr std::size_t minReadBytes = 4096;  // first read of a body of unknown length; doubles with each read
 
@@ -98,12 +102,13 @@
         if (ec) {
             co_return toReceiveError(ec);
         }
-        visit(m_parser->get());
         const unsigned status = m_parser->get().result_int();
-        if (status == 101) {
+        // The parser accepts any three digits, such as 000, which no HTTP status begins with.
+        if (status < firstStatus || status > lastStatus || status == switchingProtocolsStatus) {
             co_return ReceiveError::Malformed;
         }
-        if (status >= 200) {
+        visit(m_parser->get());
+        if (status >= firstFinalStatus) {
             if (m_parser->need_eof() && !m_options.acceptsUnframedResponses) {
                 co_return ReceiveError::Unframed;
             }
