Dispatch: a request that reached no target is refused with 503, not run

Where no byte was written to any target, the refusal is now 503 with Retry-After; a request that may have run in an earlier attempt stays answer_incomplete, unknown. The test asked for 502 and now asks for 503 and a Retry-After.

--- a/packages/base/include/pollenspoke/base.h
+++ b/packages/base/include/pollenspoke/base.h
@@ -170,7 +170,7 @@
     BodyMemoryFull,       // 503 no room for the request's body among those that this Vm holds
     QueueFull,            // 503 too many requests of the account are queued for a slot
     NoTarget,             // 503 the service has no eligible target
-    TargetUnreachable,    // 502 no attempted target accepted a connection
+    TargetUnreachable,    // 503 no attempted target accepted a connection, so that none can have run the request
     TargetDeclined,       // 503 every attempted target gave a response that the service lists as "not run"
     AnswerTimeout,        // 504 dispatched, no complete response before the deadline
     AnswerIncomplete,     // 502 dispatched, the response was truncated, malformed or of unverifiable length
--- a/packages/base/src/reasons.cpp
+++ b/packages/base/src/reasons.cpp
@@ -35,7 +35,7 @@
     {RefusalReason::BodyMemoryFull, 503, "body_memory_full"},
     {RefusalReason::QueueFull, 503, "queue_full"},
     {RefusalReason::NoTarget, 503, "no_target"},
-    {RefusalReason::TargetUnreachable, 502, "target_unreachable"},
+    {RefusalReason::TargetUnreachable, 503, "target_unreachable"},
     {RefusalReason::TargetDeclined, 503, "target_declined"},
     {RefusalReason::AnswerTimeout, 504, "answer_timeout"},
     {RefusalReason::AnswerIncomplete, 502, "answer_incomplete"},
--- a/packages/proxy/src/dispatcher.cpp
+++ b/packages/proxy/src/dispatcher.cpp
@@ -72,7 +72,10 @@
     }
     switch (reason) {
     case RetryReason::ConnectFailed:
-        return Refusal{.reason = RefusalReason::TargetUnreachable, .run = run};
+        if (mayHaveRun) { // the status of TargetUnreachable promises that the request didn't run
+            return Refusal{.reason = RefusalReason::AnswerIncomplete, .run = run};
+        }
+        return Refusal{.reason = RefusalReason::TargetUnreachable, .retryAfter = std::chrono::seconds(1)};
     case RetryReason::NotRunAnswer:
     case RetryReason::TargetClosed:
         return Refusal{.reason = RefusalReason::TargetDeclined, .run = run, .retryAfter = std::chrono::seconds(1)};
--- a/packages/proxy/tests/test_target_faults.cpp
+++ b/packages/proxy/tests/test_target_faults.cpp
@@ -284,6 +284,7 @@
     BOOST_TEST(healthy.connectionsWithBytes() >= 20U); // each POST opens a connection
 }
 
+// A 502 would promise nothing, so that callers couldn't send a request again that may run at most once.
 BOOST_AUTO_TEST_CASE(when_every_target_refuses_connections_the_request_is_reported_as_not_run)
 {
     ProxyFixture fixture({.targets = {closedPortAddress(), closedPortAddress()}});
@@ -291,7 +292,8 @@
     for (const std::string method : {"GET", "POST"}) {
         const RawCaller::Response response = caller.request(method, "/work", "body");
         checkRefusal(response, ExpectedRun::NotRun, 0);
-        BOOST_TEST(response.status == 502U);
+        BOOST_TEST(response.status == 503U);
+        BOOST_TEST(!response.header("Retry-After").empty());
     }
     BOOST_TEST(eventually([&] { return fixture.metrics().refusals(RefusalReason::TargetUnreachable) == 2U; }));
 }
