--- a/packages/policy/include/pollenspoke/policy.h
+++ b/packages/policy/include/pollenspoke/policy.h
@@ -109,7 +109,7 @@
 /// Timeout for opening a connection: at most `longest`, and at most half of the remaining time unless this is the last attempt.
 Duration connectTimeout(const AttemptPlan &plan, Duration longest, TimePoint now);
 
-/// Longest time that a request may queue for a slot: its latency objective minus 1.5 times the usual latency, but at least an
+/// Longest time that a request may queue for a slot: its latency objective minus 1.5 times the usual latency of its route, but at least an
 /// eighth of the objective, and never so long that the answer would miss the deadline. `left` is the time to the deadline and
 /// stands in, by half, for an objective of zero.
 Duration maxQueueTime(Duration objective, Duration left, Duration usualLatency);
@@ -869,6 +869,7 @@
     void noteRequest(bool isRefused, TimePoint now);
 
     Duration usualLatency() const;                            // moving average over complete answers
+    Duration usualLatency(const RouteName &route) const;      // the same of one route; that of the service before its first answer
     std::uint32_t inFlightAt(const TargetName &target) const; // requests from this Vm
     std::uint32_t freeSlots(TimePoint now) const;             // of targets that are not paused
     std::uint32_t usableSlots(TimePoint now) const;           // the same, including occupied slots
--- a/packages/policy/src/balancer.cpp
+++ b/packages/policy/src/balancer.cpp
@@ -585,6 +585,12 @@
     return m_averageLatency > 0 ? Duration(static_cast<std::int64_t>(m_averageLatency)) : m_options.firstLatency;
 }
 
+Duration ServiceBalancer::usualLatency(const RouteName &route) const
+{
+    const auto it = m_routeLatencies.find(route);
+    return it == m_routeLatencies.end() ? usualLatency() : Duration(static_cast<std::int64_t>(it->second));
+}
+
 std::uint32_t ServiceBalancer::inFlightAt(const TargetName &target) const
 {
     const Member *member = find(target);
--- a/packages/policy/tests/test_balancer.cpp
+++ b/packages/policy/tests/test_balancer.cpp
@@ -346,6 +346,32 @@
     BOOST_TEST(chooseTargetIndex(balancer, {.local = {"fd-a"}}, now, generator) == 0U);
 }
 
+// Load: urgent requests of 400 ms share a service with less urgent ones of 1.2 s. By the usual latency of the service, an urgent request
+// with 1.5 s left couldn't be answered in time and was refused at once, while the others were served.
+BOOST_AUTO_TEST_CASE(the_usual_latency_of_a_route_is_its_own)
+{
+    ServiceBalancer balancer;
+    Generator generator{1};
+    TimePoint now{1h};
+    balancer.setTargets(makeTargets(8), now);
+    const RouteName slow{"snippets"};
+    const RouteName quick{"alerts"};
+    BOOST_TEST((balancer.usualLatency(quick) == balancer.usualLatency())); // no answer yet
+    for (int i = 0; i < 200; ++i) {
+        const bool isSlow = i % 10 != 0;
+        const Duration latency = isSlow ? 1200ms : 400ms;
+        const std::optional<Target> target = balancer.choose({.local = {"fd-a"}}, now, generator);
+        BOOST_REQUIRE(target.has_value());
+        const TimePoint startedAt = now;
+        now += latency;
+        balancer.end(target->name, AttemptEnd::Answered, latency, startedAt, now, isSlow ? slow : quick);
+    }
+    BOOST_TEST((balancer.usualLatency(quick) == 400ms));
+    BOOST_TEST((balancer.usualLatency() > 1000ms));
+    BOOST_TEST((maxQueueTime(1000ms, 1500ms, balancer.usualLatency(quick)) == 400ms));
+    BOOST_TEST((maxQueueTime(1000ms, 1500ms, balancer.usualLatency()) < 400ms));
+}
+
 // A target unreachable from one Vm may be a fault of that Vm's network path, so it takes two Vms to pause it for the others.
 BOOST_AUTO_TEST_CASE(a_target_unreachable_from_one_vm_stays_available_to_the_others)
 {
--- a/packages/proxy/src/target_table.cpp
+++ b/packages/proxy/src/target_table.cpp
@@ -271,7 +271,7 @@
         {
             const std::lock_guard lock(m_mutex);
             Entry &it = entry(request.service);
-            maxWait = maxQueueTime(request.objective, request.deadline - requestedAt, it.balancer.usualLatency());
+            maxWait = maxQueueTime(request.objective, request.deadline - requestedAt, it.balancer.usualLatency(request.route));
             const std::optional<TimePoint> opensAt = it.balancer.opensAt(now);
             if (!opensAt || *opensAt > std::max(requestedAt + maxWait, now)) {
                 co_return tl::unexpected(AcquireFailure::NoTarget);
