Balancer: one VM tries a target that failed, the others follow by rank

Now the pause is 3 s, one VM by rendezvous hashing directs its next request there, two answers in a row end the trial and are told to the others, who otherwise follow 300 ms apart.

--- a/apps/pollenspoked/settings.cpp
+++ b/apps/pollenspoked/settings.cpp
@@ -271,6 +271,7 @@
     section.readReal("retry_ratio", dispatch.retryBudget.ratio, 0, 10);
     section.readReal("retry_reserve", dispatch.retryBudget.reserve, 0, 1e6);
     section.readMs("retry_window_ms", dispatch.retryBudget.window);
+    section.readMs("failure_pause_ms", dispatch.balancer.failurePause);
     section.readMs("first_pause_ms", dispatch.balancer.firstPause);
     section.readMs("longest_pause_ms", dispatch.balancer.longestPause);
     section.readNumber("floor_percent", dispatch.balancer.floorPercent, 0, 100);
--- a/packages/fleet/src/link.cpp
+++ b/packages/fleet/src/link.cpp
@@ -47,7 +47,8 @@
             target.set_target(it.target.value);
             target.set_in_flight(it.inFlight);
             target.set_failures(it.failures);
-            target.set_avoidance_ms(toMs(it.avoidance));
+            target.set_has_returned(it.returnAge.has_value());
+            target.set_return_age_ms(toMs(it.returnAge.value_or(Duration(0))));
             target.set_failure_pause_ms(toMs(it.failurePause));
             target.set_unreachable_pause_ms(toMs(it.unreachablePause));
             target.set_is_leaving(it.leavingIncarnation.has_value());
@@ -285,7 +286,6 @@
                                   .inFlight = it.in_flight(),
                                   .failures = it.failures(),
                                   .failurePause = milliseconds(it.failure_pause_ms()),
-                                  .avoidance = milliseconds(it.avoidance_ms()),
                                   .unreachablePause = milliseconds(it.unreachable_pause_ms()),
                                   .leavingIncarnation = it.is_leaving() ? std::optional<std::uint64_t>(it.incarnation()) : std::nullopt,
                                   .limit = decodeLimit(it)});
--- a/packages/fleet/src/target_reports.cpp
+++ b/packages/fleet/src/target_reports.cpp
@@ -22,8 +22,8 @@
     return observation.limit ? observation.limit->limit : std::nullopt;
 }
 
-// Returns the targets whose in-flight or failure counts changed, or that announced their leaving or another limit. Targets missing from the
-// current reports count as zero.
+// Returns the targets whose in-flight or failure counts changed, that returned after a failure, or that announced their leaving or another
+// limit. Targets missing from the current reports count as zero.
 TargetUpdates changedReports(const TargetUpdates &previous, const TargetUpdates &current)
 {
     TargetUpdates changes;
@@ -31,7 +31,8 @@
         for (const TargetObservation &it : targets) {
             const TargetObservation *previousReport = findReport(previous, service, it.target);
             if (previousReport == nullptr || previousReport->inFlight != it.inFlight || previousReport->failures != it.failures
-                || previousReport->leavingIncarnation != it.leavingIncarnation || limitOf(*previousReport) != limitOf(it)) {
+                || previousReport->leavingIncarnation != it.leavingIncarnation || limitOf(*previousReport) != limitOf(it)
+                || previousReport->returnAge.has_value() != it.returnAge.has_value()) {
                 changes[service].push_back(it);
             }
         }
--- a/packages/policy/include/pollenspoke/policy.h
+++ b/packages/policy/include/pollenspoke/policy.h
@@ -675,10 +675,11 @@
 //
 // - One fast failure pauses a target: it failed without working on the request. A failure that took about as long as a normal
 //   answer may be caused by the request itself, so only several of these in a row count.
-// - After the pause the target is half-open: it holds one request at a time until one is answered.
-// - For some time after the pause the target is avoided: it receives requests only if no other target has capacity. During the
-//   last part of that time this applies only to requests that can't be retried, so that retryable requests test the target
-//   first. The Vm that observed the failure tries it before the other Vms do.
+// - After the pause one Vm tries the target, the first by returnRank(): it directs its next request to it, one that can be retried if the
+//   service has such. The others follow by their rank, a returnStep apart, unless they are told that the target has answered. So a target
+//   that still fails costs one request, and one that is well again waits for nobody.
+// - The target is half-open meanwhile: it holds one request at a time until `returnAnswers` have been answered. For `returnTime` after that,
+//   only as many Vms as it has slots use it, with one request each.
 // - Floors keep a minimum share of the serving targets in use, whatever their failures.
 // - Announcements of the target itself bind the Vm that received them, whatever the floors: no request begins at an instance that said
 //   that it is leaving, or before the end of a pause that it asked for. What other Vms report of its leaving is evidence like any
@@ -702,11 +703,13 @@
 
 struct BalancerOptions
 {
-    Duration firstPause = std::chrono::milliseconds(2000);     // without requests after a first failure
-    Duration longestPause = std::chrono::milliseconds(5000);   // upper limit; each pause in a row is 1.5 times the one before
-    double avoidanceFactor = 2.5;                              // avoidance time as a multiple of the pause
-    Duration retryableOnlyPeriod = std::chrono::seconds(5);    // after that, only requests that can't be retried avoid it
-    Duration observerLead = std::chrono::milliseconds(1000);   // head start of the Vm that observed the failure
+    Duration failurePause = std::chrono::milliseconds(3000);   // without requests after a failure; a healthy target is idle for < 2 s of it
+    Duration firstPause = std::chrono::milliseconds(2000);     // the same of a target that is unreachable or silent
+    Duration longestPause = std::chrono::milliseconds(5000);   // upper limit of it; each pause in a row is 1.5 times the one before
+    Duration returnStep = std::chrono::milliseconds(300);      // between the tries of the Vms by their rank
+    Duration retryableLead = std::chrono::milliseconds(300);   // in which requests that can be retried try it, if the service has such
+    std::uint32_t returnAnswers = 2;                           // in a row that end the trial of a target that failed
+    Duration returnTime = std::chrono::milliseconds(500);      // of reduced use after that
     double fastFailureShare = 0.1;                             // of the usual latency; a failure within it is a fast one
     std::uint32_t slowFailureLimit = 2;                        // slow failures in a row that pause a target
     Duration declinePause = std::chrono::milliseconds(150);    // after a target declined, as its queue is full
@@ -718,7 +721,7 @@
     double warmupFactor = 2;                                   // latency penalty of a target that is warming up
     std::uint32_t crossDomainCandidates = 3;                   // targets of other failure domains considered, drawn at random
     std::uint32_t floorPercent = 50;                           // of the serving targets that stay in use whatever their pauses
-    std::uint32_t avoidanceFloorPercent = 75; // of the serving targets that are not avoided despite failures; earliest end first
+    std::uint32_t avoidanceFloorPercent = 75; // of the serving targets that are used although other Vms report that they leave or are limited
     std::uint32_t overloadFloorPercent = 85;  // replaces avoidanceFloorPercent while the service is overloaded
     double overloadShare = 0.05;              // refused share that means overload; the platform's limit is 0.1, including failures
     Duration refusalHalfLife = std::chrono::milliseconds(1500); // half-life of the request and refusal counts
@@ -749,6 +752,10 @@
 /// This Vm's part of a target's limit, in requests/s; 0: it isn't a home of the target. Over all Vms the parts add up to the limit.
 double limitShare(const TargetName &target, double limit, const LimitSharers &sharers);
 
+/// Place of this Vm in the order in which Vms try a target that failed; 0: first. By rendezvous hashing, so that each target has another
+/// order and all Vms know it without messages. Vms that have no share come last.
+std::size_t returnRank(const TargetName &target, const LimitSharers &sharers);
+
 /// Tokens of this Vm for one target instance. There is always one if no limit is in force.
 class TargetLimit
 {
@@ -783,7 +790,7 @@
     std::uint32_t inFlight = 0;                      // requests from that Vm in progress
     std::uint32_t failures = 0;                      // consecutive
     Duration failurePause{0};                        // remaining pause after failures
-    Duration avoidance{0};                           // remaining time in which other Vms avoid it for requests that can't be retried
+    std::optional<Duration> returnAge{};             // since its trial succeeded at that Vm; empty: not lately
     Duration unreachablePause{0};                    // remaining pause as it is unreachable or silent, possibly by that Vm's fault
     std::optional<std::uint64_t> leavingIncarnation; // the one that announced to that Vm that it is leaving; empty: none
     std::optional<LimitReport> limit;                // empty: that Vm knows of none
@@ -837,7 +844,7 @@
                            const std::vector<TargetObservation> &observations,
                            bool isComplete,
                            TimePoint now);                            // complete: replaces all earlier ones of that Vm
-    std::vector<TargetObservation> observations(TimePoint now) const; // of targets with requests, a pause or an avoidance time
+    std::vector<TargetObservation> observations(TimePoint now) const; // of targets with requests, a pause or a recent return
 
     /// Selects a target and counts the request as in flight there. Returns nothing if no target has a free slot.
     std::optional<Target> choose(const ChoiceRequest &request, TimePoint now, Generator &generator);
@@ -887,8 +894,6 @@
     struct RemoteObservation
     {
         std::uint32_t inFlight = 0;
-        TimePoint failureUntil;
-        TimePoint distrustUntil;
         TimePoint unreachableUntil;
         std::optional<std::uint64_t> leavingIncarnation;
         std::optional<LimitReport> limit;
@@ -900,13 +905,16 @@
         TimePoint warmupUntil;
         std::vector<TimePoint> requestStarts; // of this Vm's requests in flight
         std::map<VmName, RemoteObservation> remotes;
-        TimePoint failureUntil;
-        TimePoint avoidUntil;
+        TimePoint failedAt;      // newest failure that began a pause, here or at another Vm; the default: none since its return
+        TimePoint ownFailedAt;   // the same of this Vm
+        TimePoint returnedAt;    // its trial succeeded, here or at another Vm
+        TimePoint ownReturnedAt; // the same of this Vm
         TimePoint unreachableUntil;
         TimePoint declinedUntil;
-        std::uint32_t failures = 0;     // consecutive
-        std::uint32_t slowFailures = 0; // consecutive failures that were not fast
-        bool isHalfOpen = false;        // limited to one request until one is answered
+        std::uint32_t failures = 0;      // consecutive
+        std::uint32_t slowFailures = 0;  // consecutive failures that were not fast
+        std::uint32_t trialAnswers = 0;  // in a row since `failedAt`
+        bool isHalfOpen = false;         // limited to one request until its trial succeeds
         double slowness = 0;            // moving average of latency / usual latency of the route; 0: unknown
         TimePoint answeredAt;           // time of the newest answer
     };
@@ -929,14 +937,20 @@
     double score(const Member &member, const ChoiceRequest &request, TimePoint now) const;
     template<typename Until>
     TimePoint floorTime(std::uint32_t percent, TimePoint now, const Until &until) const;
-    TimePoint pauseFloor(TimePoint now) const;
-    TimePoint avoidedUntil(const Member &member, const ChoiceRequest &request, TimePoint now) const;
+    TimePoint pauseFloor(const ChoiceRequest &request, TimePoint now) const;
+    TimePoint avoidedUntil(const Member &member, TimePoint now) const;
+    bool hasFailed(const Member &member) const { return member.failedAt != TimePoint(); }
+    TimePoint trialAt(const Member &member, const ChoiceRequest &request, TimePoint now) const;
+    TimePoint usableAt(const Member &member, const ChoiceRequest &request, TimePoint now) const;
+    std::uint32_t slotsFor(const Member &member, const ChoiceRequest &request, TimePoint now) const;
+    Member *findDueTrial(const ChoiceRequest &request, TimePoint now);
+    void noteReturn(Member &member, TimePoint returnedAt);
     const Announced *findAnnounced(const Member &member) const; // of this instance; nullptr: nothing
     Duration waitForToken(const Member &member, TimePoint now) const;
     void applyLimitReport(Member &member, const LimitReport &report, TimePoint now);
     TimePoint reportedLimitUntil(const Member &member, TimePoint now) const;
     TimePoint reportedLeavingUntil(const Member &member, std::uint32_t minReports, TimePoint now) const;
-    TimePoint avoidanceFloor(const ChoiceRequest &request, TimePoint now) const;
+    TimePoint avoidanceFloor(TimePoint now) const;
     double decayFactor(TimePoint now) const;
     bool isOverloaded(TimePoint now) const;
     bool noteFailure(Member &member, Duration latency) const; // true: the failure counts against the target
@@ -944,8 +958,8 @@
     std::vector<Member *> candidates(const ChoiceRequest &request, TimePoint now, const Floors &floors, bool includesAvoided);
     std::uint32_t sumSlots(TimePoint now, bool includesOccupied) const;
     Member &pick(const std::vector<Member *> &eligible, const ChoiceRequest &request, TimePoint now, Generator &generator) const;
-    void startPause(Member &member, TimePoint &until, TimePoint now);
-    Duration maxDistrust() const;
+    Duration startPause(Member &member, AttemptEnd cause, TimePoint now);
+    void noteAnswer(Member &member, TimePoint startedAt, TimePoint now);
 
     void forgetAnnouncements(); // of instances that were followed by others
 
@@ -958,6 +972,7 @@
     double m_requests = 0;                                           // exponentially decayed count
     double m_refused = 0;                                            // those of m_requests that were refused
     TimePoint m_countsDecayedAt;
+    TimePoint m_retryableAt; // newest request that could be retried
     std::uint64_t m_withheldChoices = 0;
 };
 
--- a/packages/policy/src/balancer.cpp
+++ b/packages/policy/src/balancer.cpp
@@ -11,6 +11,8 @@
 constexpr double serviceLatencyWeight = 0.05;   // weight of a new answer in the service's and routes' averages
 constexpr std::size_t maxTrackedRoutes = 10000; // bounds m_routeLatencies, as routes change with the configuration
 constexpr double pauseGrowthFactor = 1.5;       // ratio of each pause to the previous one
+constexpr auto returnReportTime = std::chrono::seconds(2); // for which other Vms are told of a return; covers lost reports
+constexpr auto retryableMemory = std::chrono::seconds(1);  // after the last request that can be retried, the service counts as having none
 constexpr std::uint32_t halfOpenSlots = 1;      // requests that a half-open target may hold
 constexpr double scoreJitter = 1.5;       // largest random factor of a score; similar to the random latency differences of equal targets
 constexpr double overloadScoreJitter = 2; // the same under overload; spreads requests over all similar targets
@@ -233,21 +235,29 @@
         }
     }
     for (const TargetObservation &it : observations) {
-        if (Member *member = find(it.target)) {
-            if (it.failurePause > Duration(0)) {
+        Member *member = find(it.target);
+        if (member == nullptr) {
+            continue;
+        }
+        if (it.failurePause > Duration(0)) {
+            const TimePoint failedAt = now - (m_options.failurePause - std::min(it.failurePause, m_options.failurePause));
+            if (failedAt > std::max(member->failedAt, member->returnedAt)) {
+                member->failedAt = failedAt;
+                member->trialAnswers = 0;
                 member->isHalfOpen = true;
-                member->failures = std::max(member->failures, it.failures);
-            }
-            member->remotes[vm] = RemoteObservation{.inFlight = it.inFlight,
-                                                    .failureUntil = now + std::min(it.failurePause, m_options.longestPause),
-                                                    .distrustUntil = now + std::min(it.avoidance, maxDistrust()),
-                                                    .unreachableUntil = now + std::min(it.unreachablePause, m_options.longestPause),
-                                                    .leavingIncarnation = it.leavingIncarnation,
-                                                    .limit = it.limit,
-                                                    .expiresAt = now + m_options.observationTtl};
-            if (it.limit) {
-                applyLimitReport(*member, *it.limit, now);
             }
+            member->failures = std::max(member->failures, it.failures);
+        }
+        if (it.returnAge) {
+            noteReturn(*member, now - *it.returnAge);
+        }
+        member->remotes[vm] = RemoteObservation{.inFlight = it.inFlight,
+                                                .unreachableUntil = now + std::min(it.unreachablePause, m_options.longestPause),
+                                                .leavingIncarnation = it.leavingIncarnation,
+                                                .limit = it.limit,
+                                                .expiresAt = now + m_options.observationTtl};
+        if (it.limit) {
+            applyLimitReport(*member, *it.limit, now);
         }
     }
 }
@@ -256,21 +266,21 @@
 {
     std::vector<TargetObservation> observations;
     for (const Member &it : m_members) {
-        const Duration failurePause = std::max(it.failureUntil - now, Duration(0));
-        const Duration distrustTime = m_options.retryableOnlyPeriod + m_options.observerLead;
-        const Duration avoidance = it.failures == 0 ? Duration(0) : std::max(it.avoidUntil + distrustTime - now, Duration(0));
+        const bool hasFailedHere = it.ownFailedAt != TimePoint();
+        const Duration failurePause = hasFailedHere ? std::max(it.ownFailedAt + m_options.failurePause - now, Duration(0)) : Duration(0);
+        const bool hasReturned = it.ownReturnedAt != TimePoint() && now - it.ownReturnedAt < returnReportTime;
         const Duration unreachablePause = std::max(it.unreachableUntil - now, Duration(0));
         const auto announced = m_announced.find({it.target.name, it.target.address});
         const bool isLeaving = announced != m_announced.end() && announced->second.isLeaving;
         const auto leavingIncarnation = isLeaving ? std::optional(announced->second.incarnation) : std::nullopt;
         const std::optional<LimitReport> limit
             = announced == m_announced.end() ? std::nullopt : announced->second.limit.report(announced->second.incarnation, now);
-        if (!it.requestStarts.empty() || avoidance > Duration(0) || unreachablePause > Duration(0) || isLeaving || limit) {
+        if (!it.requestStarts.empty() || failurePause > Duration(0) || hasReturned || unreachablePause > Duration(0) || isLeaving || limit) {
             observations.push_back(TargetObservation{.target = it.target.name,
                                                      .inFlight = static_cast<std::uint32_t>(it.requestStarts.size()),
                                                      .failures = it.failures,
                                                      .failurePause = failurePause,
-                                                     .avoidance = avoidance,
+                                                     .returnAge = hasReturned ? std::optional(now - it.ownReturnedAt) : std::nullopt,
                                                      .unreachablePause = unreachablePause,
                                                      .leavingIncarnation = leavingIncarnation,
                                                      .limit = limit});
@@ -313,11 +323,11 @@
 TimePoint ServiceBalancer::pausedUntil(const Member &member, TimePoint now) const
 {
     const TimePoint leavingUntil = reportedLeavingUntil(member, m_options.leavingQuorum, now);
-    TimePoint until = std::max({member.failureUntil, member.unreachableUntil, member.declinedUntil, leavingUntil});
+    const TimePoint failureUntil = hasFailed(member) ? member.failedAt + m_options.failurePause : TimePoint();
+    const TimePoint until = std::max({failureUntil, member.unreachableUntil, member.declinedUntil, leavingUntil});
     std::uint32_t unreachableReports = 0;
     TimePoint remoteUnreachableUntil;
     for (const auto &[vm, remote] : member.remotes) {
-        until = std::max(until, remote.failureUntil);
         if (remote.unreachableUntil > now) {
             ++unreachableReports;
             remoteUnreachableUntil = std::max(remoteUnreachableUntil, remote.unreachableUntil);
@@ -326,17 +336,55 @@
     return unreachableReports >= m_options.unreachableQuorum ? std::max(until, remoteUnreachableUntil) : until;
 }
 
-// End of the time in which the target is used only if no other has capacity. It ends earlier for requests that can be retried, and
-// earlier on the Vm that observed the failure.
-TimePoint ServiceBalancer::avoidedUntil(const Member &member, const ChoiceRequest &request, TimePoint now) const
+// When this Vm may send the request to a target that failed; in the past if it hasn't.
+TimePoint ServiceBalancer::trialAt(const Member &member, const ChoiceRequest &request, TimePoint now) const
 {
-    const Duration extension = request.isRetryable ? Duration(0) : m_options.retryableOnlyPeriod;
-    TimePoint until = member.failures > 0 ? member.avoidUntil + extension : TimePoint();
-    until = std::max({until, reportedLeavingUntil(member, 1, now), reportedLimitUntil(member, now)});
-    for (const auto &[vm, remote] : member.remotes) {
-        until = std::max(until, remote.distrustUntil - m_options.retryableOnlyPeriod + extension);
+    if (!hasFailed(member)) {
+        return TimePoint();
+    }
+    const auto rank = static_cast<int>(returnRank(member.target.name, m_sharers));
+    const bool yields = !request.isRetryable && now - m_retryableAt < retryableMemory;
+    return member.failedAt + m_options.failurePause + m_options.returnStep * rank + (yields ? m_options.retryableLead : Duration(0));
+}
+
+// End of the target's pause, and of the wait for this Vm's turn to try it.
+TimePoint ServiceBalancer::usableAt(const Member &member, const ChoiceRequest &request, TimePoint now) const
+{
+    return std::max(pausedUntil(member, now), trialAt(member, request, now));
+}
+
+// A target whose trial by this Vm is due, and that nobody tries at the moment. A request that has failed once isn't put at risk again.
+ServiceBalancer::Member *ServiceBalancer::findDueTrial(const ChoiceRequest &request, TimePoint now)
+{
+    Member *due = nullptr;
+    for (Member &it : m_members) {
+        const bool isDue = hasFailed(it) && request.tried.empty() && usableAt(it, request, now) <= now;
+        if (isDue && isOpen(it, now) && waitForToken(it, now) <= Duration(0) && hasCapacity(it, request, now)
+            && (due == nullptr || it.failedAt < due->failedAt)) {
+            due = &it;
+        }
     }
-    return until;
+    return due;
+}
+
+// A return that is older than the newest failure says nothing.
+void ServiceBalancer::noteReturn(Member &member, TimePoint returnedAt)
+{
+    if (returnedAt <= std::max(member.failedAt, member.returnedAt)) {
+        return;
+    }
+    member.failedAt = {};
+    member.ownFailedAt = {};
+    member.failures = 0;
+    member.slowFailures = 0;
+    member.isHalfOpen = false;
+    member.returnedAt = returnedAt;
+}
+
+// End of the time in which the target is used only if no other has capacity, as other Vms report something of it.
+TimePoint ServiceBalancer::avoidedUntil(const Member &member, TimePoint now) const
+{
+    return std::max(reportedLeavingUntil(member, 1, now), reportedLimitUntil(member, now));
 }
 
 // Earliest time, but at least `now`, at which `percent` of the serving targets have passed their time `until(target)`.
@@ -359,15 +407,15 @@
     return std::max(*last, now);
 }
 
-TimePoint ServiceBalancer::pauseFloor(TimePoint now) const
+TimePoint ServiceBalancer::pauseFloor(const ChoiceRequest &request, TimePoint now) const
 {
-    return floorTime(m_options.floorPercent, now, [this, now](const Member &it) { return pausedUntil(it, now); });
+    return floorTime(m_options.floorPercent, now, [&](const Member &it) { return usableAt(it, request, now); });
 }
 
-TimePoint ServiceBalancer::avoidanceFloor(const ChoiceRequest &request, TimePoint now) const
+TimePoint ServiceBalancer::avoidanceFloor(TimePoint now) const
 {
     const std::uint32_t percent = isOverloaded(now) ? m_options.overloadFloorPercent : m_options.avoidanceFloorPercent;
-    return floorTime(percent, now, [this, &request, now](const Member &it) { return avoidedUntil(it, request, now); });
+    return floorTime(percent, now, [this, now](const Member &it) { return avoidedUntil(it, now); });
 }
 
 // Factor by which the request counts have decayed since their last update.
@@ -403,7 +451,20 @@
     if (member.requestStarts.size() >= request.limit) {
         return false;
     }
-    return inFlight(member, now) < (member.isHalfOpen ? halfOpenSlots : member.target.slots + request.overcommit);
+    return inFlight(member, now) < slotsFor(member, request, now);
+}
+
+// Right after its return all Vms see an idle target, so only as many as it has slots use it, with one request each.
+std::uint32_t ServiceBalancer::slotsFor(const Member &member, const ChoiceRequest &request, TimePoint now) const
+{
+    if (member.isHalfOpen) {
+        return halfOpenSlots;
+    }
+    const bool isReturning = member.returnedAt != TimePoint() && now - member.returnedAt < m_options.returnTime;
+    if (isReturning && (!member.requestStarts.empty() || returnRank(member.target.name, m_sharers) >= member.target.slots)) {
+        return 0;
+    }
+    return member.target.slots + request.overcommit;
 }
 
 // The measured slowness decays towards the service's usual latency, so that a target that was slow is tried again. A target without
@@ -445,11 +506,11 @@
     std::vector<Member *> untried;
     std::vector<Member *> alreadyTried;
     for (Member &it : m_members) {
-        const bool isAvailable = isOpen(it, now) && pausedUntil(it, now) <= floors.paused && waitForToken(it, now) <= Duration(0);
+        const bool isAvailable = isOpen(it, now) && usableAt(it, request, now) <= floors.paused && waitForToken(it, now) <= Duration(0);
         if (!isAvailable || !hasCapacity(it, request, now)) {
             continue;
         }
-        if (!includesAvoided && (avoidedUntil(it, request, now) > floors.avoided || isPossiblyStuck(it, now))) {
+        if (!includesAvoided && (avoidedUntil(it, now) > floors.avoided || isPossiblyStuck(it, now))) {
             continue;
         }
         const bool isTried = std::find(request.tried.begin(), request.tried.end(), it.target.name) != request.tried.end();
@@ -462,7 +523,12 @@
 {
     const auto isWithheld = [this, now](const Member &it) { return it.target.state == TargetState::Serving && !isOpen(it, now); };
     m_withheldChoices += !m_announced.empty() && std::any_of(m_members.begin(), m_members.end(), isWithheld) ? 1 : 0;
-    const Floors floors{.paused = pauseFloor(now), .avoided = avoidanceFloor(request, now)};
+    m_retryableAt = request.isRetryable ? now : m_retryableAt;
+    if (Member *due = findDueTrial(request, now)) {
+        due->requestStarts.push_back(now);
+        return due->target;
+    }
+    const Floors floors{.paused = pauseFloor(request, now), .avoided = avoidanceFloor(now)};
     std::vector<Member *> eligible = candidates(request, now, floors, false);
     if (eligible.empty()) {
         eligible = candidates(request, now, floors, true);
@@ -498,18 +564,40 @@
     return *best;
 }
 
-void ServiceBalancer::startPause(Member &member, TimePoint &until, TimePoint now)
+// Returns the length of the pause. After a failure it doesn't grow: a target that is well again gets a request within 4 s.
+Duration ServiceBalancer::startPause(Member &member, AttemptEnd cause, TimePoint now)
 {
-    double factor = 1;
     const std::uint32_t exponent = isOverloaded(now) ? 0 : member.failures;
+    ++member.failures;
+    member.isHalfOpen = true;
+    member.trialAnswers = 0;
+    if (cause == AttemptEnd::Failed) {
+        member.failedAt = now;
+        member.ownFailedAt = now;
+        return m_options.failurePause;
+    }
+    double factor = 1;
     for (std::uint32_t i = 0; i < exponent && factor < 100; ++i) {
         factor *= pauseGrowthFactor;
     }
-    ++member.failures;
-    const auto length = std::chrono::duration_cast<Duration>(m_options.firstPause * factor);
-    until = now + std::min(length, m_options.longestPause);
-    member.avoidUntil = now + std::chrono::duration_cast<Duration>((until - now) * m_options.avoidanceFactor);
-    member.isHalfOpen = true;
+    const auto length = std::min(std::chrono::duration_cast<Duration>(m_options.firstPause * factor), m_options.longestPause);
+    member.unreachableUntil = now + length;
+    return length;
+}
+
+// An answer to a request that was sent before the failure proves nothing.
+void ServiceBalancer::noteAnswer(Member &member, TimePoint startedAt, TimePoint now)
+{
+    if (hasFailed(member)) {
+        if (startedAt < member.failedAt || ++member.trialAnswers < m_options.returnAnswers) {
+            return;
+        }
+        noteReturn(member, now);
+        member.ownReturnedAt = now;
+    }
+    member.failures = 0;
+    member.slowFailures = 0;
+    member.isHalfOpen = false;
 }
 
 // A broken target typically fails fast. A failure that took as long as an answer may be caused by the request, so that only
@@ -522,12 +610,6 @@
     return ++member.slowFailures >= m_options.slowFailureLimit;
 }
 
-Duration ServiceBalancer::maxDistrust() const
-{
-    const auto avoidance = std::chrono::duration_cast<Duration>(m_options.longestPause * m_options.avoidanceFactor);
-    return avoidance + m_options.retryableOnlyPeriod + m_options.observerLead;
-}
-
 void ServiceBalancer::noteLatency(Member &member, Duration latency, const RouteName &route)
 {
     const auto ns = static_cast<double>(latency.count());
@@ -553,10 +635,7 @@
     }
     switch (end) {
     case AttemptEnd::Answered:
-        member->failures = 0;
-        member->slowFailures = 0;
-        member->isHalfOpen = false;
-        member->avoidUntil = {};
+        noteAnswer(*member, startedAt, now);
         member->answeredAt = now;
         noteLatency(*member, latency, route);
         return std::nullopt;
@@ -569,15 +648,14 @@
         if (!noteFailure(*member, latency)) {
             return std::nullopt;
         }
-        startPause(*member, member->failureUntil, now);
-        return TargetPause{.target = target, .cause = end, .length = member->failureUntil - now, .failures = member->failures};
+        break;
     case AttemptEnd::Misdirected:
     case AttemptEnd::Unreachable:
     case AttemptEnd::Silent:
-        startPause(*member, member->unreachableUntil, now);
-        return TargetPause{.target = target, .cause = end, .length = member->unreachableUntil - now, .failures = member->failures};
+        break;
     }
-    return std::nullopt;
+    const Duration length = startPause(*member, end, now);
+    return TargetPause{.target = target, .cause = end, .length = length, .failures = member->failures};
 }
 
 Duration ServiceBalancer::usualLatency() const
@@ -599,12 +677,13 @@
 
 std::uint32_t ServiceBalancer::sumSlots(TimePoint now, bool includesOccupied) const
 {
-    const TimePoint floorUntil = pauseFloor(now);
+    const ChoiceRequest request;
+    const TimePoint floorUntil = pauseFloor(request, now);
     std::uint32_t n = 0;
     for (const Member &it : m_members) {
         const bool isHeldBack = !includesOccupied && waitForToken(it, now) > Duration(0);
-        if (isOpen(it, now) && pausedUntil(it, now) <= floorUntil && !isHeldBack) {
-            const std::uint32_t slots = it.isHalfOpen ? halfOpenSlots : it.target.slots;
+        if (isOpen(it, now) && usableAt(it, request, now) <= floorUntil && !isHeldBack) {
+            const std::uint32_t slots = slotsFor(it, request, now);
             n += includesOccupied ? slots : slots - std::min(slots, inFlight(it, now));
         }
     }
--- a/packages/policy/src/target_limit.cpp
+++ b/packages/policy/src/target_limit.cpp
@@ -36,11 +36,7 @@
     }
     const std::vector<VmName> &vms = *sharers.vms;
     const auto homes = std::min<std::size_t>(vms.size(), std::max<std::size_t>(static_cast<std::size_t>(std::min(rate, 1e6)), minHomes));
-    const bool isSharer = std::find(vms.begin(), vms.end(), sharers.self) != vms.end();
-    const auto own = std::pair(homeScore(target, sharers.self), sharers.self);
-    const auto rank = static_cast<std::size_t>(
-        std::count_if(vms.begin(), vms.end(), [&target, &own](const VmName &it) { return std::pair(homeScore(target, it), it) > own; }));
-    return isSharer && rank < homes ? rate / static_cast<double>(homes) : 0;
+    return returnRank(target, sharers) < homes ? rate / static_cast<double>(homes) : 0;
 }
 
 void TargetLimit::apply(
