Addresses: callers are sent to the strong seat holders of a failure domain

Address answers took only liveness into account, so two holders with 10 Mbit/s got the same share of callers as six with 200 Mbit/s. Registrations now also state link, memory and descriptors (settings fleet.bandwidth_mbps and fleet.max_fds, front.vm_memory_mb), and selectByCapacity() names the Vms with at least a quarter of the strongest one's capacity, if there are two. Registrations of earlier versions count as unknown; one whose new fields were dropped by an earlier version's claim is written again. The codec of registrations moves to its own file, so that it can be tested.

--- a/apps/pollenspoked/settings.cpp
+++ b/apps/pollenspoked/settings.cpp
@@ -228,6 +228,13 @@
     section.readReal("cpu_share", cpuShare, 0.001, 1000);
     section.readReal("cpu_speed", cpuSpeed, 0.001, 1000);
     fleet.millicores = static_cast<std::uint32_t>(std::lround(std::min(cpuShare * cpuSpeed, 1000.0) * 1000));
+    // The platform renders these integers with a fraction, for example 200.0.
+    double linkMbps = fleet.linkMbps;
+    double descriptors = fleet.descriptors;
+    section.readReal("bandwidth_mbps", linkMbps, 0, 1e6);
+    section.readReal("max_fds", descriptors, 0, 1e9);
+    fleet.linkMbps = static_cast<std::uint32_t>(std::ceil(linkMbps)); // a slower link than 1 Mbit/s isn't an unknown one
+    fleet.descriptors = static_cast<std::uint32_t>(std::ceil(descriptors));
     section.readMs("status_period_ms", fleet.statusPeriod);
     section.readMs("news_period_ms", fleet.targetReportPeriod);
     section.readMs("silence_limit_ms", fleet.silenceLimit);
--- a/apps/tests/test_settings.cpp
+++ b/apps/tests/test_settings.cpp
@@ -142,3 +142,25 @@
     BOOST_TEST((errorOf(vmAndListen + "platform: {kind: http").code == ErrorCode::InvalidSyntax));
     BOOST_TEST((errorOf("vm: [1]\n").code == ErrorCode::WrongType));
 }
+
+// The platform renders integers with a fraction; a registration states whole numbers, the same after each restart.
+BOOST_AUTO_TEST_CASE(link_and_descriptors_of_the_vm_are_read_with_a_fraction)
+{
+    const std::string shared = "vm: {name: vm-1, failure_domain: fd-a}\nplatform: {kind: shared, store: \"10.0.0.5:9000\"}\n"
+                               "listen: {callers: \"127.0.0.1:8080\", readiness: \"127.0.0.1:8081\", addresses: \"127.0.0.1:8082\", "
+                               "peers: \"127.0.0.1:8083\"}\n";
+    const auto fleetOf = [&shared](const std::string &section) {
+        const Result<Settings> settings = load(shared + section);
+        BOOST_REQUIRE_MESSAGE(settings, section);
+        return std::get<SharedPlatform>(settings->platform).fleet;
+    };
+    BOOST_TEST(fleetOf("").linkMbps == 0U);
+    BOOST_TEST(fleetOf("").descriptors == 0U);
+    BOOST_TEST(fleetOf("fleet: {bandwidth_mbps: 200.0, max_fds: 4100.0}\n").linkMbps == 200U);
+    BOOST_TEST(fleetOf("fleet: {bandwidth_mbps: 200.0, max_fds: 4100.0}\n").descriptors == 4100U);
+    BOOST_TEST(fleetOf("fleet: {bandwidth_mbps: 0.2, max_fds: 4100}\n").linkMbps == 1U); // 0 would be unknown
+    for (const char *it : {"bandwidth_mbps: -1", "bandwidth_mbps: 1000001", "max_fds: -1", "max_fds: 1000000001"}) {
+        BOOST_TEST((errorOf(shared + "fleet: {" + it + "}\n").code == ErrorCode::OutOfRange), it);
+    }
+    BOOST_TEST((errorOf(shared + "fleet: {bandwidth_mbps: wide}\n").code == ErrorCode::WrongType));
+}
--- a/deploy/sample-settings.sed
+++ b/deploy/sample-settings.sed
@@ -14,3 +14,5 @@
 s/{{limits\.memory-mb}}/260/
 s/{{limits\.cpu-share}}/0.2/
 s/{{limits\.cpu-cores}}/1/
+s/{{limits\.bandwidth-mbps}}/200.0/
+s/{{limits\.max-fds}}/4100/
--- a/packages/fleet/include/pollenspoke/fleet.h
+++ b/packages/fleet/include/pollenspoke/fleet.h
@@ -106,7 +106,10 @@
     Address callers; // where callers connect
     Address peers;   // where other Vms send datagrams
     FailureDomain failureDomain;
-    std::uint32_t millicores = 0; // CPU available to the Vm
+    std::uint32_t millicores = 0;  // CPU available to the Vm
+    std::uint32_t linkMbps = 0;    // of the Vm's network link, in Mbit/s; 0: unknown, as in registrations of earlier versions
+    std::uint32_t memoryMb = 0;    // in 10^6 bytes; 0: unknown
+    std::uint32_t descriptors = 0; // highest number of open files and sockets; 0: unknown
     auto operator<=>(const VmRegistration &) const = default;
 };
 
@@ -181,6 +184,8 @@
     Address metrics;                                             // metrics page; port 0: disabled
     Address peers;                                               // UDP, for datagrams from other Vms
     std::uint32_t millicores = 1000;                             // CPU available to this Vm; larger Vms become seat holders first
+    std::uint32_t linkMbps = 0;                                  // of this Vm's network link, in Mbit/s; 0: unknown
+    std::uint32_t descriptors = 0;                               // highest number of open files and sockets; 0: unknown
     Duration addressTtl = std::chrono::seconds(2);               // how long callers may cache an address answer
     Duration watchWait = std::chrono::seconds(25);               // longest wait of one watch; the platform charges for each call
     Duration watchPause = std::chrono::milliseconds(250);        // between watches, so that one call returns several changes
--- a/packages/fleet/src/fleet_vm.cpp
+++ b/packages/fleet/src/fleet_vm.cpp
@@ -3,8 +3,8 @@
 #include "fleet_admission.h"
 #include "kind_follower.h"
 #include "target_reports.h"
+#include "vm_registration.h"
 
-#include <array>
 #include <future>
 #include <thread>
 
@@ -22,88 +22,9 @@
 constexpr auto confirmInterval = std::chrono::milliseconds(300);     // between questions to Vms that may still use a seat
 constexpr auto addressSpreadTime = std::chrono::milliseconds(750);   // until no Vm offers the address of one that leaves
 constexpr auto exitTime = std::chrono::milliseconds(400);            // of the grace time, for a late signal, the last answers and the exit
-constexpr double maxMillicores = 1e6;                                // plausibility limit for a registration
 constexpr auto deregistrationTimeout = std::chrono::seconds(90);     // a silent Vm without a seat is removed from the store after it
 constexpr auto releaseTime = std::chrono::milliseconds(200);         // of the exit time, for the write that gives up the seat
 
-// What a registration says of the Vm's seat.
-struct SeatRecord
-{
-    SeatClaim claim = SeatClaim::Held;
-    StorePosition usedAt; // of the newest registrations by which the Vm began to use a seat; the default: it never did
-};
-
-constexpr std::array<std::pair<SeatClaim, const char *>, 3> claimNames{
-    {{SeatClaim::Held, "held"}, {SeatClaim::Contested, "contested"}, {SeatClaim::Released, "released"}}};
-
-const char *claimName(SeatClaim claim)
-{
-    return std::find_if(claimNames.begin(), claimNames.end(), [claim](const auto &it) { return it.first == claim; })->second;
-}
-
-std::optional<std::uint64_t> decodeNumber(const JsonValue &spec, const char *name)
-{
-    constexpr double maxNumber = 9e15; // that a double represents exactly
-    const JsonValue *value = spec.find(name);
-    const bool isNumber = value != nullptr && value->type == JsonValue::Type::Number && value->number >= 0 && value->number <= maxNumber;
-    return isNumber ? std::optional(static_cast<std::uint64_t>(value->number)) : std::nullopt;
-}
-
-SeatRecord decodeSeatRecord(const JsonValue &spec)
-{
-    const JsonValue *claim = spec.find("seat_claim");
-    const auto known = std::find_if(claimNames.begin(), claimNames.end(), [claim](const auto &it) {
-        return claim != nullptr && claim->type == JsonValue::Type::Text && claim->text == it.second;
-    });
-    return {.claim = known == claimNames.end() ? SeatClaim::Held : known->first,
-            .usedAt = {decodeNumber(spec, "seat_used_era").value_or(0), decodeNumber(spec, "seat_used_revision").value_or(0)}};
-}
-
-// `joinedAt`: position of the Vm's first registration, so that the registration keeps its rank if a restored store lost it; without a
-// revision in a first registration, which gets its revision from the store.
-JsonValue encodeRegistration(const VmRegistration &registration, const StorePosition &joinedAt, const SeatRecord &seat)
-{
-    JsonValue spec = JsonValue::makeObject();
-    spec.add("callers", toString(registration.callers));
-    spec.add("peers", toString(registration.peers));
-    spec.add("failure_domain", registration.failureDomain.value);
-    spec.addNumber("millicores", registration.millicores);
-    spec.addNumber("joined_era", static_cast<double>(joinedAt.era()));
-    if (joinedAt.revision() != 0) {
-        spec.addNumber("joined_revision", static_cast<double>(joinedAt.revision()));
-    }
-    spec.add("seat_claim", claimName(seat.claim));
-    spec.addNumber("seat_used_era", static_cast<double>(seat.usedAt.era()));
-    spec.addNumber("seat_used_revision", static_cast<double>(seat.usedAt.revision()));
-    return spec;
-}
-
-StorePosition decodeJoinedAt(const StoredDocument &document)
-{
-    return {decodeNumber(document.spec, "joined_era").value_or(0),
-            decodeNumber(document.spec, "joined_revision").value_or(document.created)};
-}
-
-std::optional<VmRegistration> decodeRegistration(const JsonValue &spec)
-{
-    const auto text = [&spec](const char *name) {
-        const JsonValue *value = spec.find(name);
-        return value != nullptr && value->type == JsonValue::Type::Text ? value->text : std::string();
-    };
-    const Result<Address> callers = parseAddress(text("callers"));
-    const Result<Address> peers = parseAddress(text("peers"));
-    if (!callers || !peers) {
-        return std::nullopt;
-    }
-    const JsonValue *millicores = spec.find("millicores");
-    const bool hasMillicores = millicores != nullptr && millicores->type == JsonValue::Type::Number && millicores->number >= 0
-        && millicores->number <= maxMillicores;
-    return VmRegistration{.callers = *callers,
-                          .peers = *peers,
-                          .failureDomain = {text("failure_domain")},
-                          .millicores = hasMillicores ? static_cast<std::uint32_t>(millicores->number) : 0};
-}
-
 // Whether the Vm has a seat by a list of registrations.
 bool isSeated(const DocumentList &list, const VmName &vm)
 {
@@ -551,7 +472,7 @@
     members.setClaim(name, seat.claim, seat.usedAt, document.revision);
     if (members.isSelf(name)) {
         ownDocument = document;
-        const bool isOwn = *registration == ownRegistration(); // else another process has this name
+        const bool isOwn = isSameVm(*registration, ownRegistration()); // else another process has this name
         mustRegister = (isOwn || members.isInRestoreGrace()) && needsRegistration(*registration, seat);
     }
 }
@@ -572,7 +493,10 @@
     return {.callers = options.proxy.callers,
             .peers = options.peers,
             .failureDomain = options.proxy.failureDomain,
-            .millicores = options.millicores};
+            .millicores = options.millicores,
+            .linkMbps = options.linkMbps,
+            .memoryMb = options.proxy.front.vmMemoryMb,
+            .descriptors = options.descriptors};
 }
 
 void FleetVm::Impl::publishMembers(bool areRemovalsFenced)
--- a/packages/fleet/tests/test_members.cpp
+++ b/packages/fleet/tests/test_members.cpp
@@ -153,6 +153,41 @@
     BOOST_TEST(alone.at(0).ip == "10.0.0.41");
 }
 
+// Pattern: 165 Vms in three domains, 8 seats: two large Vms in each domain and two small ones, which got the same share of the callers.
+BOOST_AUTO_TEST_CASE(small_seat_holders_keep_their_seats_but_callers_are_sent_to_the_large_ones)
+{
+    Members members({"vm-0"}, {"fd-0"}, 3s);
+    for (std::size_t i = 0; i < 165; ++i) {
+        const bool isLarge = i < 6;
+        const FailureDomain domain{"fd-" + std::to_string(i % 3)};
+        const Address address{.ip = "10.0.0." + std::to_string(i), .port = 80};
+        members.put({{"vm-" + std::to_string(i)}, domain, {1, i + 1}, isLarge ? 500U : 70U},
+                    {.callers = address,
+                     .peers = address,
+                     .failureDomain = domain,
+                     .millicores = isLarge ? 500U : 70U,
+                     .linkMbps = isLarge ? 200U : 10U,
+                     .memoryMb = isLarge ? 512U : 112U,
+                     .descriptors = isLarge ? 8192U : 2870U},
+                    start);
+    }
+    const auto addressesOf = [&members](const std::string &domain) {
+        std::set<std::string> ips;
+        for (const Address &it : members.callerAddresses({domain}, start)) {
+            ips.insert(it.ip);
+        }
+        return ips;
+    };
+    BOOST_TEST(members.seatHolders().size() == 8U);
+    BOOST_TEST((addressesOf("fd-0") == std::set<std::string>{"10.0.0.0", "10.0.0.3"}));
+    BOOST_TEST((addressesOf("fd-1") == std::set<std::string>{"10.0.0.1", "10.0.0.4"}));
+    BOOST_TEST(addressesOf("elsewhere").size() == 6U);
+    members.recordReport({"vm-4"}, true, 10s, {1, 1}, start); // one large Vm is left, and the small seat holder
+    BOOST_TEST((addressesOf("fd-1") == std::set<std::string>{"10.0.0.1", "10.0.0.7"}));
+    members.recordReport({"vm-1"}, true, 10s, {1, 1}, start); // a single live seat holder: those of the other domains, and it
+    BOOST_TEST((addressesOf("fd-1") == std::set<std::string>{"10.0.0.0", "10.0.0.2", "10.0.0.3", "10.0.0.5", "10.0.0.7"}));
+}
+
 // Pattern: hundreds of Vms. When each reported to its failure domain and all seat holders, and these to all Vms, a fleet of 443
 // had some 57,000 status reports to exchange in each period.
 BOOST_AUTO_TEST_CASE(status_reports_of_a_large_fleet_are_exchanged_between_seat_holders_only)
--- a/packages/policy/include/pollenspoke/policy.h
+++ b/packages/policy/include/pollenspoke/policy.h
@@ -17,6 +17,7 @@
 /// - [11] Fleet-wide token pool    (QuotaPoolOptions, QuotaPool)
 /// - [12] Target roster            (RegistrationNumber, RosterEntry, TargetDeparture, TargetRoster)
 /// - [13] Planned stop             (StopSchedule, PlannedStop)
+/// - [14] Callers by capacity      (VmCapacity, selectByCapacity())
 ///
 /// Example:
 /// @code
@@ -1392,4 +1393,26 @@
     TimePoint m_endsAt;
 };
 
+//-----------------------------------------------------------------------------
+// [14] Callers by capacity
+//-----------------------------------------------------------------------------
+// Callers spread evenly over the addresses that they are given, so that a Vm with a twentieth of the others' link gets as many requests
+// as they do. In a failure domain of unequal seat holders, only the strong ones are named.
+
+/// What a Vm states of its size. Zero: unknown.
+struct VmCapacity
+{
+    VmName vm;
+    std::uint32_t millicores = 0;  // processor capacity available to the Vm
+    std::uint32_t linkMbps = 0;    // of its network link, in Mbit/s
+    std::uint32_t memoryMb = 0;    // in 10^6 bytes
+    std::uint32_t descriptors = 0; // highest number of open files and sockets
+    auto operator<=>(const VmCapacity &) const = default;
+};
+
+/// Of the live seat holders of one failure domain, those that callers are sent to, in the given order. The capacity of a Vm is the smallest
+/// of its ratios to the largest processor, link, memory and number of descriptors among them; what is unknown counts as the largest.
+/// Selects the Vms with at least a quarter of the highest capacity, or all of them if fewer than two have that.
+std::vector<VmName> selectByCapacity(const std::vector<VmCapacity> &vms);
+
 } // namespace Pollenspoke
