Addresses: with a single strong seat holder in a domain, callers go to the strong ones of all domains

As before, one strong and one small VM of a domain shared its callers, so that the loss of a strong VM sent half of a domain's callers to a VM with a twentieth of the link. selectByCapacity() only selects; Members decides what to do with too few.

--- a/packages/fleet/src/members.cpp
+++ b/packages/fleet/src/members.cpp
@@ -249,30 +249,24 @@
     return live;
 }
 
-// Seat holders of each failure domain that are strong enough for their share of callers; see selectByCapacity().
-std::vector<VmName> Members::selectStrong(const std::vector<VmName> &holders) const
+// The given Vms that are strong enough for an equal share of the callers.
+std::vector<VmName> Members::selectStrong(const std::vector<VmName> &vms) const
 {
-    std::map<FailureDomain, std::vector<VmCapacity>> capacities;
-    for (const VmName &it : holders) {
+    std::vector<VmCapacity> capacities;
+    capacities.reserve(vms.size());
+    for (const VmName &it : vms) {
         const VmRegistration &registration = m_members.at(it).registration;
-        capacities[registration.failureDomain].push_back({.vm = it,
-                                                          .millicores = registration.millicores,
-                                                          .linkMbps = registration.linkMbps,
-                                                          .memoryMb = registration.memoryMb,
-                                                          .descriptors = registration.descriptors});
+        capacities.push_back({.vm = it,
+                              .millicores = registration.millicores,
+                              .linkMbps = registration.linkMbps,
+                              .memoryMb = registration.memoryMb,
+                              .descriptors = registration.descriptors});
     }
-    std::set<VmName> strong;
-    for (const auto &[domain, vms] : capacities) {
-        const std::vector<VmName> names = selectByCapacity(vms);
-        strong.insert(names.begin(), names.end());
-    }
-    std::vector<VmName> selected;
-    std::copy_if(holders.begin(), holders.end(), std::back_inserter(selected), [&strong](const VmName &it) { return strong.contains(it); });
-    return selected;
+    return selectByCapacity(capacities);
 }
 
-// Strong live seat holders in the caller's failure domain, so that traffic stays within it. With fewer than two live ones there, those
-// of all domains, and if the live ones are less than half of all seats, all of them and further live Vms.
+// Strong live seat holders in the caller's failure domain, so that traffic stays within it. With fewer than two of them, the strong ones of
+// all domains; if those are less than half of all seats, all live seat holders, and if these are, further live Vms.
 std::vector<Address> Members::callerAddresses(const FailureDomain &domain, TimePoint now) const
 {
     constexpr std::size_t minLocalVms = 2;
@@ -281,11 +275,13 @@
     std::copy_if(selected.begin(), selected.end(), std::back_inserter(local), [this, &domain](const VmName &it) {
         return m_members.at(it).registration.failureDomain == domain;
     });
+    local = selectStrong(local);
+    const std::vector<VmName> strong = selectStrong(selected);
     const std::size_t minAddresses = seatHolders().size() / 2;
     if (local.size() >= minLocalVms) {
-        selected = selectStrong(local);
-    } else if (selected.size() >= minAddresses) {
-        selected = selectStrong(selected);
+        selected = std::move(local);
+    } else if (strong.size() >= minAddresses) {
+        selected = strong;
     } else {
         for (auto it = m_members.begin(); it != m_members.end() && selected.size() < minAddresses; ++it) {
             if (isLive(it->second, now) && std::find(selected.begin(), selected.end(), it->first) == selected.end()) {
--- a/packages/fleet/src/members.h
+++ b/packages/fleet/src/members.h
@@ -117,7 +117,7 @@
     std::vector<VmName> lostVms(Duration silence, TimePoint now);
 
 private:
-    std::vector<VmName> selectStrong(const std::vector<VmName> &holders) const;
+    std::vector<VmName> selectStrong(const std::vector<VmName> &vms) const;
     bool hasAccess(const VmName &holder, TimePoint now) const; // to the store
 
     VmName m_self;
--- a/packages/policy/src/vm_capacity.cpp
+++ b/packages/policy/src/vm_capacity.cpp
@@ -6,7 +6,6 @@
 namespace {
 
 constexpr double minCapacityRatio = 0.25; // to the strongest Vm; every Vm that is named gets the same share of the callers
-constexpr std::size_t minSelectedVms = 2; // callers survive the loss of one
 constexpr std::array resources{&VmCapacity::millicores, &VmCapacity::linkMbps, &VmCapacity::memoryMb, &VmCapacity::descriptors};
 
 } // namespace
@@ -26,15 +25,13 @@
         }
     }
     const auto strongest = std::max_element(capacities.begin(), capacities.end());
-    std::vector<VmName> all;
     std::vector<VmName> strong;
     for (std::size_t i = 0; i < vms.size(); ++i) {
-        all.push_back(vms[i].vm);
         if (capacities[i] >= *strongest * minCapacityRatio) {
             strong.push_back(vms[i].vm);
         }
     }
-    return strong.size() >= minSelectedVms ? strong : all;
+    return strong;
 }
 
 } // namespace Pollenspoke
