--- a/packages/policy/include/pollenspoke/policy.h
+++ b/packages/policy/include/pollenspoke/policy.h
@@ -679,7 +679,8 @@
 // - After the pause one Vm tries the target, the first by returnRank(): it directs its next request to it, one that can be retried if the
 //   service has such. The others follow by their rank, a returnStep apart, unless they are told that the target has answered. So a target
 //   that still fails costs one request, and one that is well again waits for nobody.
-// - The target is half-open meanwhile: it holds one request at a time until `returnAnswers` have been answered. For `returnTime` after that,
+// - The target is half-open meanwhile: it holds one request at a time until `returnAnswers` have been answered. For `returnTime` after
+// that,
 //   only as many Vms as it has slots use it, with one request each.
 // - Floors keep a minimum share of the serving targets in use, whatever their failures.
 // - Announcements of the target itself bind the Vm that received them, whatever the floors: no request begins at an instance that said
@@ -705,6 +706,7 @@
 struct BalancerOptions
 {
     Duration failurePause = std::chrono::milliseconds(3000);   // without requests after a failure; a healthy target is idle for < 2 s of it
+    Duration overloadPause = std::chrono::milliseconds(2000);  // replaces failurePause while the service is overloaded
     Duration firstPause = std::chrono::milliseconds(2000);     // the same of a target that is unreachable or silent
     Duration longestPause = std::chrono::milliseconds(5000);   // upper limit of it; each pause in a row is 1.5 times the one before
     Duration returnStep = std::chrono::milliseconds(300);      // between the tries of the Vms by their rank
@@ -722,9 +724,10 @@
     double warmupFactor = 2;                                   // latency penalty of a target that is warming up
     std::uint32_t crossDomainCandidates = 3;                   // targets of other failure domains considered, drawn at random
     std::uint32_t floorPercent = 50;                           // of the serving targets that stay in use whatever their pauses
-    std::uint32_t avoidanceFloorPercent = 75; // of the serving targets that are used although other Vms report that they leave or are limited
-    std::uint32_t overloadFloorPercent = 85;  // replaces avoidanceFloorPercent while the service is overloaded
-    double overloadShare = 0.05;              // refused share that means overload; the platform's limit is 0.1, including failures
+    std::uint32_t avoidanceFloorPercent
+        = 75; // of the serving targets that are used although other Vms report that they leave or are limited
+    std::uint32_t overloadFloorPercent = 85; // replaces avoidanceFloorPercent while the service is overloaded
+    double overloadShare = 0.05;             // refused share that means overload; the platform's limit is 0.1, including failures
     Duration refusalHalfLife = std::chrono::milliseconds(1500); // half-life of the request and refusal counts
     std::uint32_t unreachableQuorum = 2;                        // other Vms that must fail to reach a target before it is paused here
     std::uint32_t leavingQuorum = 2;                            // other Vms that must report a target as leaving before it is paused here
@@ -912,10 +915,10 @@
         TimePoint ownReturnedAt; // the same of this Vm
         TimePoint unreachableUntil;
         TimePoint declinedUntil;
-        std::uint32_t failures = 0;      // consecutive
-        std::uint32_t slowFailures = 0;  // consecutive failures that were not fast
-        std::uint32_t trialAnswers = 0;  // in a row since `failedAt`
-        bool isHalfOpen = false;         // limited to one request until its trial succeeds
+        std::uint32_t failures = 0;     // consecutive
+        std::uint32_t slowFailures = 0; // consecutive failures that were not fast
+        std::uint32_t trialAnswers = 0; // in a row since `failedAt`
+        bool isHalfOpen = false;        // limited to one request until its trial succeeds
         double slowness = 0;            // moving average of latency / usual latency of the route; 0: unknown
         TimePoint answeredAt;           // time of the newest answer
     };
@@ -938,11 +941,11 @@
     double score(const Member &member, const ChoiceRequest &request, TimePoint now) const;
     template<typename Until>
     TimePoint floorTime(std::uint32_t percent, TimePoint now, const Until &until) const;
-    TimePoint pauseFloor(const ChoiceRequest &request, TimePoint now) const;
-    TimePoint avoidedUntil(const Member &member, TimePoint now) const;
+    TimePoint pauseFloor(TimePoint now) const;
+    TimePoint avoidedUntil(const Member &member, const ChoiceRequest &request, TimePoint now) const;
+    TimePoint failurePauseEnd(const Member &member, TimePoint now) const;
     bool hasFailed(const Member &member) const { return member.failedAt != TimePoint(); }
     TimePoint trialAt(const Member &member, const ChoiceRequest &request, TimePoint now) const;
-    TimePoint usableAt(const Member &member, const ChoiceRequest &request, TimePoint now) const;
     std::uint32_t slotsFor(const Member &member, const ChoiceRequest &request, TimePoint now) const;
     Member *findDueTrial(const ChoiceRequest &request, TimePoint now);
     void noteReturn(Member &member, TimePoint returnedAt);
@@ -951,7 +954,7 @@
     void applyLimitReport(Member &member, const LimitReport &report, TimePoint now);
     TimePoint reportedLimitUntil(const Member &member, TimePoint now) const;
     TimePoint reportedLeavingUntil(const Member &member, std::uint32_t minReports, TimePoint now) const;
-    TimePoint avoidanceFloor(TimePoint now) const;
+    TimePoint avoidanceFloor(const ChoiceRequest &request, TimePoint now) const;
     double decayFactor(TimePoint now) const;
     bool isOverloaded(TimePoint now) const;
     bool noteFailure(Member &member, Duration latency) const; // true: the failure counts against the target
@@ -1410,9 +1413,8 @@
     auto operator<=>(const VmCapacity &) const = default;
 };
 
-/// Of the live seat holders of one failure domain, those that callers are sent to, in the given order. The capacity of a Vm is the smallest
-/// of its ratios to the largest processor, link, memory and number of descriptors among them; what is unknown counts as the largest.
-/// Selects the Vms with at least a quarter of the highest capacity, or all of them if fewer than two have that.
+/// The Vms with at least a quarter of the highest capacity, in the given order. The capacity of a Vm is the smallest of its ratios to the
+/// largest processor, link, memory and number of descriptors among them; what is unknown counts as the largest.
 std::vector<VmName> selectByCapacity(const std::vector<VmCapacity> &vms);
 
 } // namespace Pollenspoke
--- a/packages/policy/src/balancer.cpp
+++ b/packages/policy/src/balancer.cpp
@@ -7,13 +7,13 @@
 
 namespace {
 
-constexpr double targetLatencyWeight = 0.2;     // weight of a new answer in a target's moving average
-constexpr double serviceLatencyWeight = 0.05;   // weight of a new answer in the service's and routes' averages
-constexpr std::size_t maxTrackedRoutes = 10000; // bounds m_routeLatencies, as routes change with the configuration
-constexpr double pauseGrowthFactor = 1.5;       // ratio of each pause to the previous one
+constexpr double targetLatencyWeight = 0.2;                // weight of a new answer in a target's moving average
+constexpr double serviceLatencyWeight = 0.05;              // weight of a new answer in the service's and routes' averages
+constexpr std::size_t maxTrackedRoutes = 10000;            // bounds m_routeLatencies, as routes change with the configuration
+constexpr double pauseGrowthFactor = 1.5;                  // ratio of each pause to the previous one
 constexpr auto returnReportTime = std::chrono::seconds(2); // for which other Vms are told of a return; covers lost reports
 constexpr auto retryableMemory = std::chrono::seconds(1);  // after the last request that can be retried, the service counts as having none
-constexpr std::uint32_t halfOpenSlots = 1;      // requests that a half-open target may hold
+constexpr std::uint32_t halfOpenSlots = 1;                 // requests that a half-open target may hold
 constexpr double scoreJitter = 1.5;       // largest random factor of a score; similar to the random latency differences of equal targets
 constexpr double overloadScoreJitter = 2; // the same under overload; spreads requests over all similar targets
 
@@ -275,7 +275,8 @@
         const auto leavingIncarnation = isLeaving ? std::optional(announced->second.incarnation) : std::nullopt;
         const std::optional<LimitReport> limit
             = announced == m_announced.end() ? std::nullopt : announced->second.limit.report(announced->second.incarnation, now);
-        if (!it.requestStarts.empty() || failurePause > Duration(0) || hasReturned || unreachablePause > Duration(0) || isLeaving || limit) {
+        if (!it.requestStarts.empty() || failurePause > Duration(0) || hasReturned || unreachablePause > Duration(0) || isLeaving
+            || limit) {
             observations.push_back(TargetObservation{.target = it.target.name,
                                                      .inFlight = static_cast<std::uint32_t>(it.requestStarts.size()),
                                                      .failures = it.failures,
@@ -323,8 +324,7 @@
 TimePoint ServiceBalancer::pausedUntil(const Member &member, TimePoint now) const
 {
     const TimePoint leavingUntil = reportedLeavingUntil(member, m_options.leavingQuorum, now);
-    const TimePoint failureUntil = hasFailed(member) ? member.failedAt + m_options.failurePause : TimePoint();
-    const TimePoint until = std::max({failureUntil, member.unreachableUntil, member.declinedUntil, leavingUntil});
+    const TimePoint until = std::max({failurePauseEnd(member, now), member.unreachableUntil, member.declinedUntil, leavingUntil});
     std::uint32_t unreachableReports = 0;
     TimePoint remoteUnreachableUntil;
     for (const auto &[vm, remote] : member.remotes) {
@@ -336,7 +336,13 @@
     return unreachableReports >= m_options.unreachableQuorum ? std::max(until, remoteUnreachableUntil) : until;
 }
 
-// When this Vm may send the request to a target that failed; in the past if it hasn't.
+// While requests are refused for lack of slots, a shorter pause costs less than idle targets.
+TimePoint ServiceBalancer::failurePauseEnd(const Member &member, TimePoint now) const
+{
+    return hasFailed(member) ? member.failedAt + (isOverloaded(now) ? m_options.overloadPause : m_options.failurePause) : TimePoint();
+}
+
+// When this Vm may try a target that failed with the request; in the past if it hasn't failed.
 TimePoint ServiceBalancer::trialAt(const Member &member, const ChoiceRequest &request, TimePoint now) const
 {
     if (!hasFailed(member)) {
@@ -344,13 +350,7 @@
     }
     const auto rank = static_cast<int>(returnRank(member.target.name, m_sharers));
     const bool yields = !request.isRetryable && now - m_retryableAt < retryableMemory;
-    return member.failedAt + m_options.failurePause + m_options.returnStep * rank + (yields ? m_options.retryableLead : Duration(0));
-}
-
-// End of the target's pause, and of the wait for this Vm's turn to try it.
-TimePoint ServiceBalancer::usableAt(const Member &member, const ChoiceRequest &request, TimePoint now) const
-{
-    return std::max(pausedUntil(member, now), trialAt(member, request, now));
+    return failurePauseEnd(member, now) + m_options.returnStep * rank + (yields ? m_options.retryableLead : Duration(0));
 }
 
 // A target whose trial by this Vm is due, and that nobody tries at the moment. A request that has failed once isn't put at risk again.
@@ -358,7 +358,7 @@
 {
     Member *due = nullptr;
     for (Member &it : m_members) {
-        const bool isDue = hasFailed(it) && request.tried.empty() && usableAt(it, request, now) <= now;
+        const bool isDue = hasFailed(it) && request.tried.empty() && std::max(pausedUntil(it, now), trialAt(it, request, now)) <= now;
         if (isDue && isOpen(it, now) && waitForToken(it, now) <= Duration(0) && hasCapacity(it, request, now)
             && (due == nullptr || it.failedAt < due->failedAt)) {
             due = &it;
@@ -381,10 +381,11 @@
     member.returnedAt = returnedAt;
 }
 
-// End of the time in which the target is used only if no other has capacity, as other Vms report something of it.
-TimePoint ServiceBalancer::avoidedUntil(const Member &member, TimePoint now) const
+// End of the time in which the target is used only if no other has capacity: it isn't this Vm's turn to try it, or other Vms report
+// something of it.
+TimePoint ServiceBalancer::avoidedUntil(const Member &member, const ChoiceRequest &request, TimePoint now) const
 {
-    return std::max(reportedLeavingUntil(member, 1, now), reportedLimitUntil(member, now));
+    return std::max({trialAt(member, request, now), reportedLeavingUntil(member, 1, now), reportedLimitUntil(member, now)});
 }
 
 // Earliest time, but at least `now`, at which `percent` of the serving targets have passed their time `until(target)`.
@@ -407,15 +408,15 @@
     return std::max(*last, now);
 }
 
-TimePoint ServiceBalancer::pauseFloor(const ChoiceRequest &request, TimePoint now) const
+TimePoint ServiceBalancer::pauseFloor(TimePoint now) const
 {
-    return floorTime(m_options.floorPercent, now, [&](const Member &it) { return usableAt(it, request, now); });
+    return floorTime(m_options.floorPercent, now, [this, now](const Member &it) { return pausedUntil(it, now); });
 }
 
-TimePoint ServiceBalancer::avoidanceFloor(TimePoint now) const
+TimePoint ServiceBalancer::avoidanceFloor(const ChoiceRequest &request, TimePoint now) const
 {
     const std::uint32_t percent = isOverloaded(now) ? m_options.overloadFloorPercent : m_options.avoidanceFloorPercent;
-    return floorTime(percent, now, [this, now](const Member &it) { return avoidedUntil(it, now); });
+    return floorTime(percent, now, [this, &request, now](const Member &it) { return avoidedUntil(it, request, now); });
 }
 
 // Factor by which the request counts have decayed since their last update.
@@ -461,7 +462,7 @@
         return halfOpenSlots;
     }
     const bool isReturning = member.returnedAt != TimePoint() && now - member.returnedAt < m_options.returnTime;
-    if (isReturning && (!member.requestStarts.empty() || returnRank(member.target.name, m_sharers) >= member.target.slots)) {
+    if (isReturning && !isOverloaded(now) && (!member.requestStarts.empty() || returnRank(member.target.name, m_sharers) >= member.target.slots)) {
         return 0;
     }
     return member.target.slots + request.overcommit;
@@ -506,11 +507,11 @@
     std::vector<Member *> untried;
     std::vector<Member *> alreadyTried;
     for (Member &it : m_members) {
-        const bool isAvailable = isOpen(it, now) && usableAt(it, request, now) <= floors.paused && waitForToken(it, now) <= Duration(0);
+        const bool isAvailable = isOpen(it, now) && pausedUntil(it, now) <= floors.paused && waitForToken(it, now) <= Duration(0);
         if (!isAvailable || !hasCapacity(it, request, now)) {
             continue;
         }
-        if (!includesAvoided && (avoidedUntil(it, now) > floors.avoided || isPossiblyStuck(it, now))) {
+        if (!includesAvoided && (avoidedUntil(it, request, now) > floors.avoided || isPossiblyStuck(it, now))) {
             continue;
         }
         const bool isTried = std::find(request.tried.begin(), request.tried.end(), it.target.name) != request.tried.end();
@@ -528,7 +529,7 @@
         due->requestStarts.push_back(now);
         return due->target;
     }
-    const Floors floors{.paused = pauseFloor(request, now), .avoided = avoidanceFloor(now)};
+    const Floors floors{.paused = pauseFloor(now), .avoided = avoidanceFloor(request, now)};
     std::vector<Member *> eligible = candidates(request, now, floors, false);
     if (eligible.empty()) {
         eligible = candidates(request, now, floors, true);
@@ -574,7 +575,7 @@
     if (cause == AttemptEnd::Failed) {
         member.failedAt = now;
         member.ownFailedAt = now;
-        return m_options.failurePause;
+        return failurePauseEnd(member, now) - now;
     }
     double factor = 1;
     for (std::uint32_t i = 0; i < exponent && factor < 100; ++i) {
@@ -589,7 +590,7 @@
 void ServiceBalancer::noteAnswer(Member &member, TimePoint startedAt, TimePoint now)
 {
     if (hasFailed(member)) {
-        if (startedAt < member.failedAt || ++member.trialAnswers < m_options.returnAnswers) {
+        if (startedAt < member.failedAt || ++member.trialAnswers < (isOverloaded(now) ? 1 : m_options.returnAnswers)) {
             return;
         }
         noteReturn(member, now);
@@ -678,11 +679,11 @@
 std::uint32_t ServiceBalancer::sumSlots(TimePoint now, bool includesOccupied) const
 {
     const ChoiceRequest request;
-    const TimePoint floorUntil = pauseFloor(request, now);
+    const TimePoint floorUntil = pauseFloor(now);
     std::uint32_t n = 0;
     for (const Member &it : m_members) {
         const bool isHeldBack = !includesOccupied && waitForToken(it, now) > Duration(0);
-        if (isOpen(it, now) && usableAt(it, request, now) <= floorUntil && !isHeldBack) {
+        if (isOpen(it, now) && pausedUntil(it, now) <= floorUntil && !isHeldBack) {
             const std::uint32_t slots = slotsFor(it, request, now);
             n += includesOccupied ? slots : slots - std::min(slots, inFlight(it, now));
         }
--- a/packages/policy/tests/test_balancer.cpp
+++ b/packages/policy/tests/test_balancer.cpp
@@ -189,8 +189,8 @@
 
 } // namespace
 
-// Guards against a pause that ends for all Vms at once: eight Vms sent to the same failing target within 10 ms, and each lost a request that
-// may run only once.
+// Guards against a pause that ends for all Vms at once: eight Vms sent to the same failing target within 10 ms, and each lost a request
+// that may run only once.
 BOOST_AUTO_TEST_CASE(one_vm_after_the_other_tries_a_target_that_failed)
 {
     const TimePoint failedAt{1h};
--- a/packages/proxy/tests/proxy_fixture.cpp
+++ b/packages/proxy/tests/proxy_fixture.cpp
@@ -49,8 +49,11 @@
 
 ProxyOptions withoutTargetPauses()
 {
-    return {.dispatch
-            = {.balancer = {.failurePause = Duration::zero(), .firstPause = Duration::zero(), .retryableLead = Duration::zero(), .returnAnswers = 1, .returnTime = Duration::zero()}}};
+    return {.dispatch = {.balancer = {.failurePause = Duration::zero(),
+                                      .firstPause = Duration::zero(),
+                                      .retryableLead = Duration::zero(),
+                                      .returnAnswers = 1,
+                                      .returnTime = Duration::zero()}}};
 }
 
 RawCaller::RawCaller(std::uint16_t port)
--- a/packages/proxy/tests/test_status_lines.cpp
+++ b/packages/proxy/tests/test_status_lines.cpp
@@ -76,9 +76,8 @@
         BOOST_TEST_CONTEXT(status)
         {
             ScriptedTarget target(answerWith(status, 1));
-            ProxyFixture fixture({.targets = {target.address()},
-                                  .proxy = withoutTargetPauses(),
-                                  .routeFields = ", deadline_ms: 3000, max_attempts: 1"});
+            ProxyFixture fixture(
+                {.targets = {target.address()}, .proxy = withoutTargetPauses(), .routeFields = ", deadline_ms: 3000, max_attempts: 1"});
             RawCaller caller(fixture.port());
             BOOST_TEST(caller.request("GET", "/work").status == 200U);
             checkUnreadable(caller.request("GET", "/work")); // on the kept connection
