Policy: cold targets have a limit over all VMs, evacuated ones get nothing

Cause: a target that is warming up got whatever the balancer gave it, and crashes well above what it can handle; nothing could mark the targets of a failure domain as evacuated. Change: warmupShare() divides the limit of a cold target by rendezvous hashing, with a margin below the bound; WarmupLimit holds the tokens, empty at each start. An evacuated target isn't open, so that slots, floors, waits and opensAt() leave it out.

--- a/packages/policy/include/pollenspoke/policy.h
+++ b/packages/policy/include/pollenspoke/policy.h
@@ -701,6 +701,14 @@
     Abandoned,   // the caller went away; says nothing about the target
 };
 
+/// Limit of the requests to a cold target within any second, over all Vms: its rate x overage + slack.
+struct WarmupBound
+{
+    double overage = 1.5;
+    double slack = 8; // requests
+    auto operator<=>(const WarmupBound &) const = default;
+};
+
 struct BalancerOptions
 {
     Duration failurePause = std::chrono::milliseconds(3000);   // without requests after a failure; a healthy target is idle for < 2 s of it
@@ -728,6 +736,7 @@
     std::uint32_t unreachableQuorum = 2;                        // other Vms that must fail to reach a target before it is paused here
     std::uint32_t leavingQuorum = 2;                            // other Vms that must report a target as leaving before it is paused here
     std::uint32_t limitQuorum = 2; // other Vms that must report a target's limit before it binds a Vm that the target hasn't told
+    WarmupBound warmup;
     auto operator<=>(const BalancerOptions &) const = default;
 };
 
@@ -783,6 +792,36 @@
     TokenBucket m_bucket{Limits{}, TimePoint()};
 };
 
+/// This Vm's part of the requests to a cold target; a rate of 0: it sends none. Over all Vms, the parts stay below the bound in any second,
+/// with a margin for Vms that know different lists of sharers.
+Limits warmupShare(const TargetName &target, double ratePerSecond, const WarmupBound &bound, const LimitSharers &sharers);
+
+/// Tokens of this Vm for one cold target instance. There is always one while the target isn't cold.
+class WarmupLimit
+{
+public:
+    void setShare(const Limits &share, TimePoint now); // without a call, the target is never limited
+    void setUnlimited() { m_bucket.reset(); }
+    void setRegistered(Duration warmup, TimePoint now); // remaining time by its registration; replaces the earlier one
+    void setUnknown(bool isUnknown, TimePoint now);     // true: a registration that states a warm-up may be missing
+    void noteAnswer(Duration warmup, TimePoint now);    // remaining time by an answer; doesn't shorten what is known
+
+    bool isLimited(TimePoint now) const;
+    double rate() const { return m_bucket ? m_bucket->limits().ratePerSecond : 0; }
+    Duration waitForToken(TimePoint now) const; // one hour if there will be none
+    bool takeToken(TimePoint now);
+    void returnToken(TimePoint now); // of a request that wasn't sent
+
+private:
+    void setCold(TimePoint &until, TimePoint value, TimePoint now);
+    void emptyIfWarm(TimePoint now);
+
+    TimePoint m_registeredUntil;
+    TimePoint m_answeredUntil;
+    bool m_isUnknown = false;
+    std::optional<TokenBucket> m_bucket; // empty: the service has no limit
+};
+
 /// One Vm's load and pauses at one target, as sent to the other Vms.
 struct TargetObservation
 {
@@ -812,6 +851,7 @@
     bool isLeaving = false;      // it wants no more requests
     Duration pause{0};           // it wants no requests from this Vm for so long; 0: none
     std::optional<double> limit; // requests/s that it takes from all Vms together; empty: it named none
+    Duration warmup{0};          // it stays cold for so long; 0: it named none
     auto operator<=>(const TargetAnnouncement &) const = default;
 };
 
@@ -857,17 +897,21 @@
     /// it does so until the target is listed again after it was missing or listed as leaving. Of two pauses the later end counts.
     /// Returns true if this is news.
     bool announce(const TargetInstance &instance, const TargetAnnouncement &announcement, TimePoint now);
-    bool accepts(const TargetInstance &instance, TimePoint now) const; // false: it announced that it is leaving or pausing
+    /// False: it announced that it is leaving or pausing, or its failure domain is evacuated.
+    bool accepts(const TargetInstance &instance, TimePoint now) const;
 
     /// Records that a final answer, to a request that was sent at the given time, named no limit. Returns true if that ends one.
     bool noteUnlimited(const TargetInstance &instance, TimePoint sentAt, TimePoint now);
     void setLimitSharers(const LimitSharers &sharers, TimePoint now);
-    bool takeToken(const TargetInstance &instance, TimePoint now); // before each request; false: its limit allows none now
+    void setWarmupRate(double ratePerSecond, TimePoint now);       // that a cold target can handle; 0: no limit
+    bool takeToken(const TargetInstance &instance, TimePoint now); // before each request; false: its limits allow none now
     void returnToken(const TargetInstance &instance, TimePoint now);
 
     /// Time until the limits allow another request, after those that wait already; zero if a target without a limit is open.
     Duration limitedWait(std::size_t waitersAhead, TimePoint now) const;
     bool isListed(const TargetInstance &instance) const;
+    bool isHeldBackByWarmup(TimePoint now) const;                                 // an open target lacks nothing but a token of this limit
+    bool isHeldBackByWarmup(const TargetInstance &instance, TimePoint now) const; // the same of one target
     std::uint64_t withheldChoices() const { return m_withheldChoices; } // choices that left out a target because of its announcement
 
     /// Counts a request for the service and whether this Vm refused it, for any reason. While many are refused, the service counts
@@ -903,6 +947,7 @@
     {
         Target target;
         TimePoint warmupUntil;
+        WarmupLimit warmup;
         std::vector<TimePoint> requestStarts; // of this Vm's requests in flight
         std::map<VmName, RemoteObservation> remotes;
         TimePoint failedAt;      // newest failure that began a pause, here or at another Vm; the default: none since its return
@@ -911,10 +956,10 @@
         TimePoint ownReturnedAt; // the same of this Vm
         TimePoint unreachableUntil;
         TimePoint declinedUntil;
-        std::uint32_t failures = 0;      // consecutive
-        std::uint32_t slowFailures = 0;  // consecutive failures that were not fast
-        std::uint32_t trialAnswers = 0;  // in a row since `failedAt`
-        bool isHalfOpen = false;         // limited to one request until its trial succeeds
+        std::uint32_t failures = 0;     // consecutive
+        std::uint32_t slowFailures = 0; // consecutive failures that were not fast
+        std::uint32_t trialAnswers = 0; // in a row since `failedAt`
+        bool isHalfOpen = false;        // limited to one request until its trial succeeds
         double slowness = 0;            // moving average of latency / usual latency of the route; 0: unknown
         TimePoint answeredAt;           // time of the newest answer
     };
@@ -928,7 +973,11 @@
 
     const Member *find(const TargetName &name) const;
     Member *find(const TargetName &name);
-    bool isOpen(const Member &member, TimePoint now) const; // listed as serving, and it announced nothing else to this Vm
+    /// Listed as serving in a domain that isn't evacuated, and it announced nothing else to this Vm.
+    bool isOpen(const Member &member, TimePoint now) const;
+    Member *findInstance(const TargetInstance &instance);
+    const Member *findInstance(const TargetInstance &instance) const;
+    void setWarmupShare(Member &member, TimePoint now) const;
     std::uint32_t inFlight(const Member &member, TimePoint now) const;
     TimePoint pausedUntil(const Member &member, TimePoint now) const;
     bool isPossiblyStuck(const Member &member, TimePoint now) const;
@@ -965,6 +1014,7 @@
 
     BalancerOptions m_options;
     LimitSharers m_sharers;
+    double m_warmupRate = 0; // requests/s; 0: no limit
     std::vector<Member> m_members;
     std::map<std::pair<TargetName, Address>, Announced> m_announced; // also of targets that aren't listed at present
     double m_averageLatency = 0;                                     // moving average over all targets, ns; 0: unknown
--- a/packages/policy/src/balancer.cpp
+++ b/packages/policy/src/balancer.cpp
@@ -50,10 +50,14 @@
         Member *existing = find(it.name);
         const bool isSame = existing != nullptr && existing->target.address == it.address && existing->target.incarnation == it.incarnation;
         Member member = isSame ? std::move(*existing) : Member();
-        if (member.target.name != it.name || member.target.warmupMs != it.warmupMs) {
+        const bool isNewWarmup = member.target.warmupMs != it.warmupMs || member.target.warmupSequence != it.warmupSequence;
+        if (member.target.name != it.name || isNewWarmup) {
             member.warmupUntil = now + std::chrono::milliseconds(it.warmupMs);
+            member.warmup.setRegistered(std::chrono::milliseconds(it.warmupMs), now);
         }
+        member.warmup.setUnknown(it.isWarmupUnknown, now);
         member.target = it;
+        setWarmupShare(member, now);
         members.push_back(std::move(member));
     }
     m_members = std::move(members);
@@ -82,9 +86,42 @@
     }
 }
 
+const ServiceBalancer::Member *ServiceBalancer::findInstance(const TargetInstance &instance) const
+{
+    const Member *member = find(instance.name);
+    const bool isSame
+        = member != nullptr && member->target.address == instance.address && member->target.incarnation == instance.incarnation;
+    return isSame ? member : nullptr;
+}
+
+ServiceBalancer::Member *ServiceBalancer::findInstance(const TargetInstance &instance)
+{
+    return const_cast<Member *>(std::as_const(*this).findInstance(instance));
+}
+
+void ServiceBalancer::setWarmupShare(Member &member, TimePoint now) const
+{
+    if (m_warmupRate > 0) {
+        member.warmup.setShare(warmupShare(member.target.name, m_warmupRate, m_options.warmup, m_sharers), now);
+    } else {
+        member.warmup.setUnlimited();
+    }
+}
+
+void ServiceBalancer::setWarmupRate(double ratePerSecond, TimePoint now)
+{
+    if (ratePerSecond != m_warmupRate) {
+        m_warmupRate = ratePerSecond;
+        std::for_each(m_members.begin(), m_members.end(), [this, now](Member &it) { setWarmupShare(it, now); });
+    }
+}
+
 bool ServiceBalancer::announce(const TargetInstance &instance, const TargetAnnouncement &announcement, TimePoint now)
 {
-    if (announcement == TargetAnnouncement()) {
+    if (Member *member = findInstance(instance); member != nullptr && announcement.warmup > Duration(0)) {
+        member->warmup.noteAnswer(announcement.warmup, now);
+    }
+    if (announcement == TargetAnnouncement{.warmup = announcement.warmup}) {
         return false;
     }
     const auto [it, isNew] = m_announced.try_emplace({instance.name, instance.address}, Announced{.incarnation = instance.incarnation});
@@ -122,13 +159,22 @@
     for (auto &[key, it] : m_announced) {
         it.limit.setSharers(key.first, m_sharers, now);
     }
+    std::for_each(m_members.begin(), m_members.end(), [this, now](Member &it) { setWarmupShare(it, now); });
 }
 
 bool ServiceBalancer::takeToken(const TargetInstance &instance, TimePoint now)
 {
     const auto it = m_announced.find({instance.name, instance.address});
     const bool isBound = it != m_announced.end() && it->second.incarnation >= instance.incarnation;
-    return !isBound || it->second.limit.takeToken(now);
+    Member *member = findInstance(instance);
+    if (member != nullptr && !member->warmup.takeToken(now)) {
+        return false;
+    }
+    const bool isTaken = !isBound || it->second.limit.takeToken(now);
+    if (!isTaken && member != nullptr) {
+        member->warmup.returnToken(now);
+    }
+    return isTaken;
 }
 
 void ServiceBalancer::returnToken(const TargetInstance &instance, TimePoint now)
@@ -137,6 +183,22 @@
     if (it != m_announced.end() && it->second.incarnation >= instance.incarnation) {
         it->second.limit.returnToken(now);
     }
+    if (Member *member = findInstance(instance)) {
+        member->warmup.returnToken(now);
+    }
+}
+
+bool ServiceBalancer::isHeldBackByWarmup(TimePoint now) const
+{
+    return m_warmupRate > 0 && std::any_of(m_members.begin(), m_members.end(), [this, now](const Member &it) {
+               return isOpen(it, now) && it.warmup.waitForToken(now) > Duration(0);
+           });
+}
+
+bool ServiceBalancer::isHeldBackByWarmup(const TargetInstance &instance, TimePoint now) const
+{
+    const Member *member = findInstance(instance);
+    return member != nullptr && member->warmup.waitForToken(now) > Duration(0);
 }
 
 const ServiceBalancer::Announced *ServiceBalancer::findAnnounced(const Member &member) const
@@ -148,7 +210,8 @@
 Duration ServiceBalancer::waitForToken(const Member &member, TimePoint now) const
 {
     const Announced *announced = findAnnounced(member);
-    return announced == nullptr ? Duration(0) : announced->limit.waitForToken(now);
+    const Duration limitWait = announced == nullptr ? Duration(0) : announced->limit.waitForToken(now);
+    return std::max(limitWait, member.warmup.waitForToken(now));
 }
 
 Duration ServiceBalancer::limitedWait(std::size_t waitersAhead, TimePoint now) const
@@ -160,11 +223,14 @@
             continue;
         }
         const Announced *announced = findAnnounced(it);
-        if (announced == nullptr || !announced->limit.limit()) {
+        const bool isLimited = announced != nullptr && announced->limit.limit();
+        const bool isCold = it.warmup.isLimited(now);
+        if (!isLimited && !isCold) {
             return Duration(0);
         }
-        rate += announced->limit.share();
-        first = std::min(first, announced->limit.waitForToken(now));
+        const double limitRate = isLimited ? announced->limit.share() : it.warmup.rate();
+        rate += isCold ? std::min(limitRate, it.warmup.rate()) : limitRate;
+        first = std::min(first, waitForToken(it, now));
     }
     if (rate <= 0) {
         return Duration(0); // no target is open, or none to this Vm: opensAt() tells
@@ -211,12 +277,14 @@
 
 bool ServiceBalancer::isListed(const TargetInstance &instance) const
 {
-    const Member *member = find(instance.name);
-    return member != nullptr && member->target.address == instance.address && member->target.incarnation == instance.incarnation;
+    return findInstance(instance) != nullptr;
 }
 
 bool ServiceBalancer::accepts(const TargetInstance &instance, TimePoint now) const
 {
+    if (const Member *member = find(instance.name); member != nullptr && member->target.isEvacuated) {
+        return false; // also of an earlier instance: the domain is that of the target
+    }
     const auto it = m_announced.find({instance.name, instance.address});
     if (it == m_announced.end() || it->second.incarnation < instance.incarnation) {
         return true;
@@ -275,7 +343,8 @@
         const auto leavingIncarnation = isLeaving ? std::optional(announced->second.incarnation) : std::nullopt;
         const std::optional<LimitReport> limit
             = announced == m_announced.end() ? std::nullopt : announced->second.limit.report(announced->second.incarnation, now);
-        if (!it.requestStarts.empty() || failurePause > Duration(0) || hasReturned || unreachablePause > Duration(0) || isLeaving || limit) {
+        if (!it.requestStarts.empty() || failurePause > Duration(0) || hasReturned || unreachablePause > Duration(0) || isLeaving
+            || limit) {
             observations.push_back(TargetObservation{.target = it.target.name,
                                                      .inFlight = static_cast<std::uint32_t>(it.requestStarts.size()),
                                                      .failures = it.failures,
@@ -521,7 +590,8 @@
 
 std::optional<Target> ServiceBalancer::choose(const ChoiceRequest &request, TimePoint now, Generator &generator)
 {
-    const auto isWithheld = [this, now](const Member &it) { return it.target.state == TargetState::Serving && !isOpen(it, now); };
+    const auto isWithheld
+        = [this, now](const Member &it) { return it.target.state == TargetState::Serving && !it.target.isEvacuated && !isOpen(it, now); };
     m_withheldChoices += !m_announced.empty() && std::any_of(m_members.begin(), m_members.end(), isWithheld) ? 1 : 0;
     m_retryableAt = request.isRetryable ? now : m_retryableAt;
     if (Member *due = findDueTrial(request, now)) {
@@ -704,16 +774,15 @@
 {
     std::optional<TimePoint> earliest;
     for (const Member &it : m_members) {
-        const auto announced = m_announced.find({it.target.name, it.target.address});
-        const bool isBound = announced != m_announced.end() && announced->second.incarnation >= it.target.incarnation;
-        if (it.target.state != TargetState::Serving || (isBound && announced->second.isLeaving)) {
+        const Announced *announced = findAnnounced(it);
+        if (it.target.state != TargetState::Serving || it.target.isEvacuated || (announced != nullptr && announced->isLeaving)) {
             continue;
         }
-        const Duration tokenWait = isBound ? announced->second.limit.waitForToken(now) : Duration(0);
+        const Duration tokenWait = waitForToken(it, now);
         if (tokenWait >= std::chrono::hours(1)) {
             continue;
         }
-        const TimePoint opening = isBound ? std::max(announced->second.pausedUntil, now + tokenWait) : now;
+        const TimePoint opening = std::max(announced == nullptr ? TimePoint() : announced->pausedUntil, now + tokenWait);
         earliest = std::min(earliest.value_or(opening), opening);
     }
     return earliest;
--- a/packages/resources/include/pollenspoke/resources.h
+++ b/packages/resources/include/pollenspoke/resources.h
@@ -106,6 +106,9 @@
     TargetState state = TargetState::Serving; // Leaving: no new requests
     std::uint32_t warmupMs = 0;               // expected duration of reduced speed from now on, ms, 0 to 3600000
     std::uint64_t incarnation = 0;            // of its process: a later start has a higher one, such as its time; 0: unknown
+    std::uint64_t warmupSequence = 0;         // of the registration that states warmupMs; 0: unknown, or warmupMs is 0
+    bool isEvacuated = false;                 // its failure domain is evacuated: no new requests
+    bool isWarmupUnknown = false;             // its domain has returned, and newer registrations may state a warm-up
     auto operator<=>(const Target &) const = default;
 };
 
@@ -146,6 +149,8 @@
     Probe probe;                                               // active health check; off by default
     std::vector<NotRunAnswer> notRunAnswers;                   // responses that mean "not executed"
     ConnectionReuse connectionReuse = ConnectionReuse::Echoed; // Echoed: only after responses that echo the request id
+    double warmupRatePerSecond = 0;                            // requests/s that a cold target can handle; 0: no limit
+    std::uint32_t warmupMs = 0;                                // usual time that a target stays cold, ms
     bool operator==(const Service &) const = default;
 };
 
