Proxy: evacuated targets get no first byte, and the warm-up limit is checked last

Cause: a request that was chosen, queued or connecting when its target was evacuated would still be sent, idle connections stayed open, and the remaining warm-up time in an answer's header was not read. Counter dispatches_held_cold, gauge evacuated_domains, events 4007 and 4008.

--- a/packages/base/include/pollenspoke/base.h
+++ b/packages/base/include/pollenspoke/base.h
@@ -240,6 +240,8 @@
     TargetListed            = 4004, // a target registered, or its state or address changed
     TargetUnlisted          = 4005, // a target was removed after its registration ended, at once or after a grace period
     TargetAnnounced         = 4006, // a target said in an answer that it is leaving, for how long it wants no requests, or how many a second it takes
+    DomainEvacuated         = 4007, // nothing more is sent to the targets of a failure domain; with the age and position of the entry
+    DomainReturned          = 4008, // the evacuation of a failure domain was withdrawn; with the age and position of the withdrawal
     QuotaReclaimed          = 5001, // the quota grant of a lost Vm was reclaimed
     QuotaDenied             = 5002, // no tokens left locally, and none could be borrowed
     PeerSuspected           = 6001, // a peer stopped responding
--- a/packages/base/src/events.cpp
+++ b/packages/base/src/events.cpp
@@ -45,6 +45,8 @@
     EventRow{Event::TargetListed, "target_listed"},
     EventRow{Event::TargetUnlisted, "target_unlisted"},
     EventRow{Event::TargetAnnounced, "target_announced"},
+    EventRow{Event::DomainEvacuated, "domain_evacuated"},
+    EventRow{Event::DomainReturned, "domain_returned"},
     EventRow{Event::QuotaReclaimed, "quota_reclaimed"},
     EventRow{Event::QuotaDenied, "quota_denied"},
     EventRow{Event::PeerSuspected, "peer_suspected"},
--- a/packages/proxy/include/pollenspoke/proxy.h
+++ b/packages/proxy/include/pollenspoke/proxy.h
@@ -49,6 +49,7 @@
     std::string requiredResponseHeader;                     // 2xx responses of targets without it are rejected; empty: no check
     std::string leavingHeader = "Server-Leaving";           // "1" in any response: the target wants no more requests; empty: not read
     std::string limitHeader = "Server-Limit";             // in any response: requests/s that the target takes from all Vms; empty: not read
+    std::string warmupHeader;                             // in any response: ms for which the target stays cold; empty: not read
     bool preservesRequestId = false;                      // forward the caller's request id; false: generate one per request
     bool acceptsChunkedRequests = false;                  // false: they are refused with 411
     bool hasFractionalRetryAfter = false;                 // Retry-After with milliseconds; false: whole seconds
--- a/packages/proxy/src/announcement.cpp
+++ b/packages/proxy/src/announcement.cpp
@@ -49,6 +49,19 @@
     return wait >= maxRetryAfter ? maxRetryAfter : std::chrono::ceil<Duration>(wait);
 }
 
+std::optional<Duration> parseWarmup(std::string_view text)
+{
+    const std::string_view digits = trim(text);
+    std::uint64_t ms = 0;
+    const auto [end, ec] = std::from_chars(digits.data(), digits.data() + digits.size(), ms);
+    const bool isHuge = ec == std::errc::result_out_of_range;
+    if (digits.empty() || end != digits.data() + digits.size() || (ec != std::errc() && !isHuge)) {
+        return std::nullopt;
+    }
+    constexpr auto maxMs = static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(maxWarmup).count());
+    return std::chrono::milliseconds(isHuge ? maxMs : std::min(ms, maxMs));
+}
+
 TargetAnnouncement readAnnouncement(const http::response_header<> &header, const WireContract &contract)
 {
     TargetAnnouncement announcement;
@@ -70,6 +83,12 @@
             }
         });
     }
+    if (!contract.warmupHeader.empty()) {
+        const auto [begin, end] = header.equal_range(toBeast(contract.warmupHeader));
+        std::for_each(begin, end, [&announcement](const auto &it) {
+            announcement.warmup = std::max(announcement.warmup, parseWarmup(toView(it.value())).value_or(Duration(0)));
+        });
+    }
     return announcement;
 }
 
--- a/packages/proxy/src/announcement.h
+++ b/packages/proxy/src/announcement.h
@@ -18,8 +18,12 @@
 std::optional<double> parseTargetLimit(std::string_view text);
 inline constexpr double maxTargetLimit = 1e6;
 
+/// Reads the time in ms for which a target stays cold, whole digits. Anything else is ignored. Values above maxWarmup count as that.
+std::optional<Duration> parseWarmup(std::string_view text);
+inline constexpr Duration maxWarmup = std::chrono::hours(1);
+
 /// Reads the announcements of one header block, informational or final. Of several Retry-After values the longest counts, of several
-/// limits the lowest.
+/// limits the lowest, of several warm-up times the longest.
 TargetAnnouncement readAnnouncement(const http::response_header<> &header, const WireContract &contract);
 
 } // namespace Pollenspoke
--- a/packages/proxy/src/dispatcher.cpp
+++ b/packages/proxy/src/dispatcher.cpp
@@ -38,7 +38,8 @@
 bool isServing(const Service &service, const TargetId &id)
 {
     return std::any_of(service.targets.begin(), service.targets.end(), [&id](const Target &it) {
-        return it.name == id.target && it.address == id.address && it.incarnation == id.incarnation && it.state == TargetState::Serving;
+        return it.name == id.target && it.address == id.address && it.incarnation == id.incarnation && it.state == TargetState::Serving
+            && !it.isEvacuated;
     });
 }
 
@@ -163,6 +164,18 @@
     m_pool.discardExpired(now, milliseconds(m_options.dispatch.pooledIdleMs));
 }
 
+void Dispatcher::applySnapshot(const Snapshot &snapshot)
+{
+    m_targets.applySnapshot(snapshot);
+    for (const auto &[name, service] : snapshot.services()) {
+        for (const Target &it : service.targets) {
+            if (it.isEvacuated) {
+                m_pool.discardAll({name, it.name, it.address, it.incarnation});
+            }
+        }
+    }
+}
+
 void Dispatcher::clearPool()
 {
     m_pool.clear();
@@ -716,6 +729,7 @@
     TargetAnnouncement announcement = readAnnouncement(header, m_options.wire);
     if (header.result_int() == misdirectedStatus || hasForeignRequestId(header, request.requestId, m_options.wire)) {
         announcement.limit.reset(); // of another target, or an earlier answer
+        announcement.warmup = Duration(0);
     }
     if (announcement != TargetAnnouncement()) {
         m_targets.announce(attempt.id, announcement, request.requestId);
--- a/packages/proxy/src/dispatcher.h
+++ b/packages/proxy/src/dispatcher.h
@@ -58,6 +58,7 @@
 
     void setVmCount(std::uint32_t n); // Vms that divide each target's connection limit
     TargetTable &targets() { return m_targets; }
+    void applySnapshot(const Snapshot &snapshot); // also closes the idle connections to evacuated targets
     void closeExpired(TimePoint now);
     void clearPool();
 
--- a/packages/proxy/src/proxy.cpp
+++ b/packages/proxy/src/proxy.cpp
@@ -283,7 +283,7 @@
             return;
         }
     } while (!m_impl->snapshot.compare_exchange_weak(current, snapshot));
-    m_impl->dispatcher.targets().applySnapshot(*snapshot);
+    m_impl->dispatcher.applySnapshot(*snapshot);
     m_impl->dependencies.metrics.setGauge(Gauge::SnapshotRevision, static_cast<std::int64_t>(snapshot->revision()));
     logEvent(Event::SnapshotApplied, {{"revision", std::to_string(snapshot->revision())}});
 }
--- a/packages/proxy/src/target_table.cpp
+++ b/packages/proxy/src/target_table.cpp
@@ -142,6 +142,7 @@
     const TimePoint now = m_clock.now();
     for (const auto &[name, service] : snapshot.services()) {
         Entry &it = entry(name);
+        it.balancer.setWarmupRate(service.warmupRatePerSecond, now);
         it.balancer.setTargets(service.targets, now);
         wakeWaiters(it, now);
     }
@@ -251,6 +252,7 @@
     std::optional<Target> target = entry.balancer.choose(choice, now, threadGenerator());
     if (target) {
         m_metrics.count(Counter::DispatchesWithheld, entry.balancer.withheldChoices() - withheldBefore);
+        m_metrics.count(Counter::DispatchesHeldCold, entry.balancer.isHeldBackByWarmup(now) ? 1 : 0);
     }
     if (target) {
         reservation
@@ -285,6 +287,7 @@
                 }
             }
             if (!queueEntry) {
+                m_metrics.count(Counter::DispatchesHeldCold, it.balancer.isHeldBackByWarmup(now) ? 1 : 0);
                 const QueueKey last{request.priority, UINT64_MAX};
                 const auto waitersAhead = static_cast<std::size_t>(std::distance(it.queue.begin(), it.queue.upper_bound(last)));
                 if (expectedWait(it, waitersAhead, now) > maxWait) {
@@ -371,7 +374,15 @@
     const std::lock_guard lock(m_mutex);
     const auto it = m_entries.find(id.service);
     const TimePoint now = m_clock.now();
-    return it == m_entries.end() || (it->second.balancer.accepts(id.instance(), now) && it->second.balancer.takeToken(id.instance(), now));
+    if (it == m_entries.end()) {
+        return true;
+    }
+    ServiceBalancer &balancer = it->second.balancer;
+    if (!balancer.accepts(id.instance(), now)) {
+        return false;
+    }
+    m_metrics.count(Counter::DispatchesHeldCold, balancer.isHeldBackByWarmup(id.instance(), now) ? 1 : 0);
+    return balancer.takeToken(id.instance(), now);
 }
 
 void TargetTable::returnToken(const TargetId &id)
--- a/packages/proxy/src/target_table.h
+++ b/packages/proxy/src/target_table.h
@@ -82,12 +82,12 @@
 
     /// Records what the target said about itself in an answer to the request.
     void announce(const TargetId &id, const TargetAnnouncement &announcement, const std::string &requestId);
-    bool accepts(const TargetId &id) const; // false: it announced that it is leaving or pausing
+    bool accepts(const TargetId &id) const; // false: it announced that it is leaving or pausing, or its domain is evacuated
 
     /// Records that an answer to a request, sent at the given time, named no limit.
     void noteUnlimited(const TargetId &id, TimePoint sentAt, const std::string &requestId);
     void setLimitSharers(const LimitSharers &sharers);
-    bool admit(const TargetId &id);       // as accepts(); also takes a token of the target's limit. Called last before the first byte
+    bool admit(const TargetId &id);       // as accepts(); also takes a token of the target's limits. Called last before the first byte
     void returnToken(const TargetId &id); // no byte was sent after admit()
 
     bool hasOpenTarget(const ServiceName &service) const; // one that is listed as serving and announced nothing else
--- a/packages/telemetry/include/pollenspoke/telemetry.h
+++ b/packages/telemetry/include/pollenspoke/telemetry.h
@@ -52,8 +52,9 @@
     DispatchesWithheld,    // choices of a target that left out one because of its announcement, and attempts kept back for it
     SeatsContested,        // registrations of silent seat holders, and their successors, that this Vm wrote as contested
     SeatsConfirmed,        // contested registrations of Vms that this Vm hears and wrote as held again
+    DispatchesHeldCold,    // choices that left out a cold target, and attempts kept back from one, because of its warm-up limit
 };
-inline constexpr std::size_t counterCount = static_cast<std::size_t>(Counter::SeatsConfirmed) + 1;
+inline constexpr std::size_t counterCount = static_cast<std::size_t>(Counter::DispatchesHeldCold) + 1;
 
 /// Current values.
 enum class Gauge {
@@ -68,8 +69,9 @@
     StoreEra,            // of the object store: rises when it was restored from an older copy; 0: unknown
     DeclarationsVersion, // operator's version of the declarations in force; 0: none, or the platform has no such version
     SeatInUse,           // 1: this Vm has a seat and may use it
+    EvacuatedDomains,    // failure domains whose targets get no new requests
 };
-inline constexpr std::size_t gaugeCount = static_cast<std::size_t>(Gauge::SeatInUse) + 1;
+inline constexpr std::size_t gaugeCount = static_cast<std::size_t>(Gauge::EvacuatedDomains) + 1;
 
 /// Durations, recorded in histograms that cover 10 us to 100 s.
 enum class Timing {
--- a/packages/telemetry/src/metrics.cpp
+++ b/packages/telemetry/src/metrics.cpp
@@ -51,6 +51,7 @@
     "dispatches_withheld",
     "seats_contested",
     "seats_confirmed",
+    "dispatches_held_cold",
 };
 constexpr std::array<std::string_view, gaugeCount> gaugeNames{
     "caller_connections",
@@ -64,6 +65,7 @@
     "store_era",
     "declarations_version",
     "seat_in_use",
+    "evacuated_domains",
 };
 static_assert(!counterNames.back().empty() && !gaugeNames.back().empty(), "each counter and gauge has a name");
 constexpr std::array<std::string_view, timingCount> timingNames{"total", "added", "connect", "target", "declarations"};
