Fleet: follow the store's evacuations of failure domains

Cause: an entry of this kind had no effect. Change: where fleet.evacuation_ms is above 0, a VM follows the kind with watches of half that time, marks the targets of evacuated domains and is ready only after it listed the kind; a VM that the store doesn't answer lists it at another VM. From the end of an evacuation to registrations as new as that end, the warm-up of the domain's targets counts as unknown.

--- a/apps/pollenspoked/settings.cpp
+++ b/apps/pollenspoked/settings.cpp
@@ -233,6 +233,7 @@
     section.readMs("silence_limit_ms", fleet.silenceLimit);
     section.readMs("grace_ms", fleet.graceTime);
     section.readMs("leave_ms", fleet.leaveTime);
+    section.readMs("evacuation_ms", fleet.evacuationTime);
     section.readReal("quota_rate_factor", fleet.quota.rateFactor, 0.1, 10);
     section.readReal("quota_extra_burst", fleet.quota.extraBurst, 0, 1000);
     section.rejectUnknownKeys();
@@ -274,6 +275,8 @@
     section.readMs("failure_pause_ms", dispatch.balancer.failurePause);
     section.readMs("first_pause_ms", dispatch.balancer.firstPause);
     section.readMs("longest_pause_ms", dispatch.balancer.longestPause);
+    section.readReal("warmup_overage", dispatch.balancer.warmup.overage, 1, 10);
+    section.readReal("warmup_slack", dispatch.balancer.warmup.slack, 0, 1000);
     section.readNumber("floor_percent", dispatch.balancer.floorPercent, 0, 100);
     section.rejectUnknownKeys();
 }
--- a/apps/tests/test_settings.cpp
+++ b/apps/tests/test_settings.cpp
@@ -142,3 +142,26 @@
     BOOST_TEST((errorOf(vmAndListen + "platform: {kind: http").code == ErrorCode::InvalidSyntax));
     BOOST_TEST((errorOf("vm: [1]\n").code == ErrorCode::WrongType));
 }
+
+// Guards against limits of the operators that are dropped, or taken although they are out of range.
+BOOST_AUTO_TEST_CASE(the_bounds_of_evacuations_and_warm_ups_are_read)
+{
+    const std::string shared = "vm: {name: vm-1, failure_domain: fd-a}\n"
+                               "listen: {callers: \"127.0.0.1:8080\", readiness: \"127.0.0.1:8081\", addresses: \"127.0.0.1:8082\", "
+                               "peers: \"127.0.0.1:8083\"}\n"
+                               "platform: {kind: shared, store: \"10.0.0.5:9000\"}\n";
+    const Result<Settings> absent = load(shared);
+    BOOST_REQUIRE(absent);
+    BOOST_TEST((std::get<SharedPlatform>(absent->platform).fleet.evacuationTime == Duration(0)));
+    BOOST_TEST((absent->proxy.dispatch.balancer.warmup == WarmupBound{.overage = 1.5, .slack = 8}));
+    const Result<Settings> given = load(shared + "dispatch:\n  warmup_overage: 2.5\n  warmup_slack: 3\nfleet:\n  evacuation_ms: 5000\n");
+    BOOST_REQUIRE(given);
+    BOOST_TEST((std::get<SharedPlatform>(given->platform).fleet.evacuationTime == std::chrono::seconds(5)));
+    BOOST_TEST((given->proxy.dispatch.balancer.warmup == WarmupBound{.overage = 2.5, .slack = 3}));
+    for (const std::string it :
+         {"warmup_overage: 0.9", "warmup_overage: 11", "warmup_slack: -1", "warmup_slack: 1001", "warmup_slack: .nan"}) {
+        BOOST_TEST((errorOf(shared + "dispatch: {" + it + "}\n").code == ErrorCode::OutOfRange), it);
+    }
+    BOOST_TEST((errorOf(shared + "fleet: {evacuation_ms: 3600001}\n").code == ErrorCode::OutOfRange));
+    BOOST_TEST((errorOf(shared + "fleet: {evacuation_ms: soon}\n").code == ErrorCode::WrongType));
+}
--- a/deploy/sample-settings.sed
+++ b/deploy/sample-settings.sed
@@ -14,3 +14,7 @@
 s/{{limits\.memory-mb}}/260/
 s/{{limits\.cpu-share}}/0.2/
 s/{{limits\.cpu-cores}}/1/
+s/{{[#/]bounds\.[a-z-]*}}//g
+s/{{bounds\.evacuation-ms}}/5000/
+s/{{bounds\.warmup-overage}}/1.5/
+s/{{bounds\.warmup-slack}}/8/
--- a/packages/fleet/include/pollenspoke/fleet.h
+++ b/packages/fleet/include/pollenspoke/fleet.h
@@ -119,8 +119,10 @@
     virtual std::string declarationsName() const = 0; // the only document of that kind that is used
     virtual std::string targetsKind() const = 0;
     virtual std::string vmsKind() const = 0; // for VmRegistration documents
+    virtual std::string evacuationsKind() const = 0;
     virtual Result<Declarations> decodeDeclarations(const JsonValue &spec) const = 0;
     virtual Result<TargetRecord> decodeTarget(const std::string &name, const JsonValue &spec) const = 0;
+    virtual Result<FailureDomain> decodeEvacuation(const std::string &name, const JsonValue &spec) const = 0;
     virtual std::string readinessPath() const = 0;
     virtual std::string addressPath() const = 0;
     virtual FailureDomain decodeAddressQuery(const std::string &query) const = 0; // of the caller; empty: not given
@@ -189,6 +191,7 @@
     Duration silenceLimit = std::chrono::milliseconds(3000);     // a Vm without a report for this long is not offered to callers
     Duration graceTime = std::chrono::seconds(6);                // from SIGTERM until the platform kills the process
     Duration leaveTime = std::chrono::milliseconds(4200);        // planned stop: keeps listening until cached address answers expire
+    Duration evacuationTime{};                                   // from an acknowledged evacuation to the last request; 0: not followed
     QuotaPoolOptions quota;
 };
 
--- a/packages/fleet/src/configuration.cpp
+++ b/packages/fleet/src/configuration.cpp
@@ -1,5 +1,7 @@
 #include "configuration.h"
 
+#include <set>
+
 namespace Pollenspoke {
 
 Configuration::Configuration(const PlatformFormat &format, Metrics &metrics)
@@ -81,11 +83,14 @@
     }
     m_roster.replaceAll(std::move(entries), now);
     m_rosterRevision = std::max(m_rosterRevision, list.position.revision());
+    noteTargetChange(list.position);
+    noteTargetsKnown(list.position);
 }
 
 void Configuration::applyTargetChange(const DocumentChange &change, TimePoint now)
 {
     m_rosterRevision = std::max(m_rosterRevision, change.document.revision);
+    noteTargetChange(change.position);
     const std::optional<RosterEntry> entry = change.isDeleted ? std::nullopt : decodeTarget(change.document);
     if (entry) {
         m_roster.put(*entry, now);
@@ -94,6 +99,97 @@
     }
 }
 
+//-----------------------------------------------------------------------------
+// Evacuations
+//-----------------------------------------------------------------------------
+
+void Configuration::addEvacuation(const StoredDocument &document, const StorePosition &position, Duration age)
+{
+    const Result<FailureDomain> domain = m_format.decodeEvacuation(document.name, document.spec);
+    if (!domain) {
+        reportRejected("evacuation " + document.name, std::to_string(document.revision), domain.error());
+        return;
+    }
+    m_returned.erase(*domain);
+    if (!m_evacuations.insert_or_assign(*domain, position).second) {
+        return;
+    }
+    m_metrics.setGauge(Gauge::EvacuatedDomains, static_cast<std::int64_t>(m_evacuations.size()));
+    logEvent(Event::DomainEvacuated,
+             {{"domain", domain->value},
+              {"position", toString(position)},
+              {"age_ms", std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(age).count())}});
+}
+
+void Configuration::endEvacuation(const FailureDomain &domain, const StorePosition &position, Duration age)
+{
+    if (m_evacuations.erase(domain) == 0) {
+        return;
+    }
+    m_returned.insert_or_assign(domain, position);
+    m_metrics.setGauge(Gauge::EvacuatedDomains, static_cast<std::int64_t>(m_evacuations.size()));
+    logEvent(Event::DomainReturned,
+             {{"domain", domain.value},
+              {"position", toString(position)},
+              {"age_ms", std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(age).count())}});
+}
+
+// An entry that has become unreadable stays in force as it was.
+void Configuration::replaceEvacuations(const DocumentList &list, TimePoint /*now*/)
+{
+    std::set<FailureDomain> listed;
+    for (const StoredDocument &it : list.items) {
+        listed.insert(FailureDomain{it.name});
+        addEvacuation(it, {list.position.era(), it.revision}, Duration(0));
+    }
+    const std::map<FailureDomain, StorePosition> previous = m_evacuations;
+    for (const auto &[domain, position] : previous) {
+        if (!listed.contains(domain)) {
+            endEvacuation(domain, list.position, Duration(0));
+        }
+    }
+    m_evacuationsPosition = list.position;
+}
+
+void Configuration::applyEvacuationChange(const DocumentChange &change, TimePoint /*now*/)
+{
+    if (change.isDeleted) {
+        endEvacuation(FailureDomain{change.document.name}, change.position, change.age);
+    } else {
+        addEvacuation(change.document, change.position, change.age);
+    }
+}
+
+// An evacuation may have begun and ended before the last list, which doesn't show it.
+bool Configuration::mayBeCold(const FailureDomain &domain) const
+{
+    const auto returned = m_returned.find(domain);
+    return (returned != m_returned.end() && m_targetsKnown < returned->second)
+        || (m_evacuationsPosition && m_targetsKnown < *m_evacuationsPosition);
+}
+
+bool Configuration::noteTargetsKnown(const StorePosition &position)
+{
+    if (position <= m_targetsKnown) {
+        return false;
+    }
+    const bool wasListPending = m_evacuationsPosition && m_targetsKnown < *m_evacuationsPosition;
+    m_targetsKnown = position;
+    const bool isListKnown = wasListPending && m_targetsKnown >= *m_evacuationsPosition;
+    const std::size_t n = std::erase_if(m_returned, [this](const auto &it) { return it.second <= m_targetsKnown; });
+    return isListKnown || n > 0;
+}
+
+void Configuration::markTargets(std::map<ServiceName, std::vector<Target>> &targets) const
+{
+    for (auto &[service, list] : targets) {
+        for (Target &it : list) {
+            it.isEvacuated = m_evacuations.contains(it.failureDomain);
+            it.isWarmupUnknown = !it.isEvacuated && mayBeCold(it.failureDomain);
+        }
+    }
+}
+
 // Logs one line for each target that was added, removed or changed since the last snapshot.
 void Configuration::logTargets(const std::map<ServiceName, std::vector<Target>> &targets) const
 {
@@ -129,6 +225,7 @@
 std::shared_ptr<const Snapshot> Configuration::buildSnapshotIfChanged(TimePoint now)
 {
     std::map<ServiceName, std::vector<Target>> targets = m_roster.targets(now);
+    markTargets(targets);
     if (!m_declarations || (!m_declarationsChanged && targets == m_targets)) {
         return nullptr;
     }
--- a/packages/fleet/src/configuration.h
+++ b/packages/fleet/src/configuration.h
@@ -16,6 +16,14 @@
     void applyTargetChange(const DocumentChange &change, TimePoint now);
     TargetRoster &roster() { return m_roster; }
 
+    void replaceEvacuations(const DocumentList &list, TimePoint now);
+    void applyEvacuationChange(const DocumentChange &change, TimePoint now);
+    bool hasEvacuations() const { return m_evacuationsPosition.has_value(); } // false: not listed yet
+
+    /// The registrations up to this position of the store are in the roster. Until then, a target of a domain whose evacuation has ended
+    /// may have become cold unnoticed. Returns true if that changes for a target.
+    bool noteTargetsKnown(const StorePosition &position);
+
     void noteStoreRestored(TimePoint noticedAt); // from an older copy; call it before applying what the restored store has
     std::vector<TargetDeparture> departures(TimePoint now) const { return m_roster.departures(now); }
     void applyDepartures(const std::vector<TargetDeparture> &departures, TimePoint now) { m_roster.applyDepartures(departures, now); }
@@ -24,11 +32,17 @@
     const std::optional<StoredDocument> &declarationsDocument() const { return m_declarationsDocument; } // of those in force
     std::uint64_t declarationsRevision() const { return m_declarationsRevision; }                        // of the store
     std::uint64_t rosterRevision() const { return m_rosterRevision; }                                    // of the store
+    void noteTargetChange(const StorePosition &position) { m_newestTargetChange = std::max(m_newestTargetChange, position); }
+    const StorePosition &newestTargetChange() const { return m_newestTargetChange; } // in the roster
 
     /// Returns nullptr before the first declarations, when nothing changed since the last call, or when the build failed.
     std::shared_ptr<const Snapshot> buildSnapshotIfChanged(TimePoint now);
 
 private:
+    void addEvacuation(const StoredDocument &document, const StorePosition &position, Duration age);
+    void endEvacuation(const FailureDomain &domain, const StorePosition &position, Duration age);
+    void markTargets(std::map<ServiceName, std::vector<Target>> &targets) const;
+    bool mayBeCold(const FailureDomain &domain) const;
     std::optional<RosterEntry> decodeTarget(const StoredDocument &document);
     void logTargets(const std::map<ServiceName, std::vector<Target>> &targets) const;
     void reportOutdated(std::uint64_t version);
@@ -41,9 +55,14 @@
     TargetRoster m_roster;
     std::shared_ptr<const Snapshot> m_snapshot;           // the last one; null: none yet
     std::map<ServiceName, std::vector<Target>> m_targets; // in the last snapshot
-    bool m_declarationsChanged = false;                   // since the last snapshot
-    bool m_isStoreBehind = false;                         // no newer declarations since the store was restored
-    std::uint64_t m_lastOutdatedVersion = 0;              // last one reported since the declarations in force were taken
+    std::map<FailureDomain, StorePosition> m_evacuations; // with the position of the entry
+    std::optional<StorePosition> m_evacuationsPosition;   // of the last list; evacuations that ended before it may be unknown to this Vm
+    std::map<FailureDomain, StorePosition> m_returned;    // domains whose evacuation has ended, with the position of the end
+    StorePosition m_targetsKnown;                         // see noteTargetsKnown()
+    StorePosition m_newestTargetChange;
+    bool m_declarationsChanged = false;      // since the last snapshot
+    bool m_isStoreBehind = false;            // no newer declarations since the store was restored
+    std::uint64_t m_lastOutdatedVersion = 0; // last one reported since the declarations in force were taken
     std::uint64_t m_declarationsRevision = 0;
     std::uint64_t m_rosterRevision = 0;
     std::uint64_t m_snapshotCount = 0;
--- a/packages/fleet/src/feed.cpp
+++ b/packages/fleet/src/feed.cpp
@@ -45,9 +45,17 @@
     m_changes.clear();
     m_newest.clear();
     m_documents.clear();
+    m_contents.clear();
     m_knowsAllDocuments = false;
 }
 
+void ChangeLog::keep(const StoredDocument &document)
+{
+    if (m_keepsContents) {
+        m_contents[document.name] = document;
+    }
+}
+
 // The changes before the first position of an era are known only as differences from the earlier one.
 void ChangeLog::advance(StorePosition position)
 {
@@ -77,7 +85,9 @@
     m_newestChange = std::max(m_newestChange, change.position);
     if (change.isDeleted) {
         m_documents.erase(change.document.name);
+        m_contents.erase(change.document.name);
     } else {
+        keep(change.document);
         m_documents[change.document.name] = describe(change.document, spec);
     }
     while (m_changes.size() > maxChanges) {
@@ -114,6 +124,7 @@
         restartAt(list.position);
         for (const StoredDocument &it : list.items) {
             m_documents[it.name] = describe(it, formatJsonText(it.spec));
+            keep(it);
         }
         m_knowsAllDocuments = true;
         return;
@@ -153,6 +164,13 @@
     if (!m_spans.empty() && cursor.since > end()) {
         return DocumentChanges{.position = end()}; // the receiver is ahead of this Vm
     }
+    if (cursor == FeedCursor() && m_keepsContents && m_knowsAllDocuments) {
+        DocumentChanges all{.position = end()};
+        for (const auto &[name, it] : m_contents) {
+            all.events.push_back({.document = it, .position = {end().era(), it.revision}});
+        }
+        return all;
+    }
     if (!covers(cursor)) {
         return std::nullopt;
     }
@@ -321,6 +339,12 @@
     const TimePoint startedAt = m_clock.now();
     Result<DocumentList> result = co_await m_store.list(kind, consistency);
     recordAccess(kind, result ? std::nullopt : std::optional(result.error()), startedAt);
+    if (!result && kind == m_keptKind && knownPosition(kind) == StorePosition()) {
+        if (std::optional<DocumentList> held = co_await listAtOtherVm(kind)) {
+            m_logs[kind].addList(*held, m_clock.now());
+            co_return std::move(*held);
+        }
+    }
     if (!result) {
         co_return result;
     }
@@ -337,6 +361,40 @@
     co_return result;
 }
 
+void FeedStore::setKeptKind(const std::string &kind)
+{
+    m_keptKind = kind;
+    m_logs[kind].keepContents();
+}
+
+net::awaitable<std::optional<DocumentList>> FeedStore::listAtOtherVm(std::string kind)
+{
+    std::set<VmName> tried;
+    while (tried.size() < maxSourcesPerPoll) {
+        const Member *source = chooseSource(tried);
+        if (source == nullptr) {
+            break;
+        }
+        tried.insert(source->name);
+        Cursors cursors;
+        cursors[kind] = FeedCursor(); // asks for all documents
+        const std::optional<FeedReply> reply = co_await requestChanges(*source, std::move(cursors));
+        if (!reply) {
+            continue;
+        }
+        const auto changes = reply->changes.find(kind);
+        if (changes == reply->changes.end() || !changes->second) {
+            continue; // it has no list itself
+        }
+        DocumentList list{.position = changes->second->position};
+        for (const DocumentChange &it : changes->second->events) {
+            list.items.push_back(it.document);
+        }
+        co_return list;
+    }
+    co_return std::nullopt;
+}
+
 DocumentStore::Call<DocumentChanges> FeedStore::watchStore(std::string kind, StorePosition since, Duration wait)
 {
     const TimePoint startedAt = m_clock.now();
@@ -395,7 +453,7 @@
     }
     Watch &watch = m_watches[kind];
     watch.failures = {};
-    m_longestWait = std::max(m_longestWait, wait);
+    m_longestWait = kind == m_keptKind ? m_longestWait : std::max(m_longestWait, wait);
     const TimePoint deadline = m_clock.now() + wait;
     net::steady_timer timer(m_context);
     while (!isStoreWatcher() && !watch.failures.isLimitReached()) {
@@ -691,15 +749,22 @@
 
 net::awaitable<std::optional<FeedReply>> FeedStore::requestChanges(const Member &source, bool includesCursors)
 {
-    FeedRequest request{.id = ++m_lastRequestId,
-                        .isLeaving = m_members.isLeaving(),
-                        .declarationsVersion = m_heldContent.declarationsVersion(),
-                        .needsDepartures = needsHeldContent()};
+    Cursors cursors;
     if (includesCursors) {
         for (const auto &[kind, watch] : m_watches) {
-            request.cursors[kind] = m_logs[kind].cursor();
+            cursors[kind] = m_logs[kind].cursor();
         }
     }
+    return requestChanges(source, std::move(cursors));
+}
+
+net::awaitable<std::optional<FeedReply>> FeedStore::requestChanges(const Member &source, Cursors cursors)
+{
+    const FeedRequest request{.id = ++m_lastRequestId,
+                              .isLeaving = m_members.isLeaving(),
+                              .cursors = std::move(cursors),
+                              .declarationsVersion = m_heldContent.declarationsVersion(),
+                              .needsDepartures = needsHeldContent()};
     const auto entry = m_pendingRequests.emplace(request.id, PendingRequest{.timer = net::steady_timer(m_context, replyTimeout)}).first;
     const TimePoint sentAt = m_clock.now();
     const VmName sourceName = source.name;
--- a/packages/fleet/src/feed.h
+++ b/packages/fleet/src/feed.h
@@ -23,7 +23,8 @@
     static constexpr std::size_t maxChanges = 2000;       // the oldest changes are dropped
     static constexpr std::size_t maxReplyBytes = 2000000; // documents in one reply, as sent; twice the store's largest document
 
-    void restartAt(StorePosition position); // empties the log; it covers changes after this position
+    void keepContents() { m_keepsContents = true; } // so that since() can answer a cursor before all changes; for a kind of few documents
+    void restartAt(StorePosition position);         // empties the log; it covers changes after this position
     void add(const DocumentChanges &changes, TimePoint now = {});
 
     /// Continues the log with a list, which may be all that is left after the store discarded its history: logs the differences
@@ -61,6 +62,7 @@
         bool operator==(const KnownDocument &) const = default;
     };
 
+    void keep(const StoredDocument &document);
     static KnownDocument describe(const StoredDocument &document, std::string_view spec);
     void advance(StorePosition position);
     void append(const DocumentChange &change, TimePoint now);
@@ -73,6 +75,8 @@
     Entries m_changes;                                 // by position
     std::map<std::string, Entries::iterator> m_newest; // of m_changes, by document
     std::map<std::string, KnownDocument> m_documents;  // that exist at the end of the log
+    bool m_keepsContents = false;
+    std::map<std::string, StoredDocument> m_contents; // of m_documents, if they are kept
 };
 
 /// Weighted count of consecutive failed requests to feed sources. At the limit the store is asked directly.
@@ -131,6 +135,10 @@
     void setHeldContent(HeldContent content) { m_heldContent = std::move(content); }
     void noteStoreRestored(); // asks another Vm for what it holds
 
+    /// The kind has few documents, all of which are kept: a Vm that the store doesn't answer lists them at another Vm. Its watches may wait
+    /// longer than those of the other kinds, which notice a silent store.
+    void setKeptKind(const std::string &kind);
+
     StorePosition knownPosition(const std::string &kind) const;
     StorePosition newestChange(const std::string &kind) const; // that is known
 
@@ -168,6 +176,7 @@
         bool isInStep = true;                       // began with those of the other store watchers: after a change or a failure
     };
 
+    boost::asio::awaitable<std::optional<DocumentList>> listAtOtherVm(std::string kind);
     bool isStoreWatcher() const; // also as a deputy of the seat holders
     Duration contactLimit() const;
     void noteOwnContact();
@@ -197,6 +206,7 @@
     void wakeWatches();
     void recordAccess(const std::string &kind, const std::optional<Error> &error, TimePoint startedAt);
     boost::asio::awaitable<std::optional<FeedReply>> requestChanges(const Member &source, bool includesCursors);
+    boost::asio::awaitable<std::optional<FeedReply>> requestChanges(const Member &source, Cursors cursors);
     void reportPollFailure(const VmName &source, std::string_view cause, Duration elapsed);
     void wake(Watch &watch);
 
@@ -207,6 +217,7 @@
     const Clock &m_clock;
     Metrics &m_metrics;
     std::map<std::string, ChangeLog> m_logs;                // by kind
+    std::string m_keptKind;                                 // empty: none
     std::map<std::string, Watch> m_watches;                 // by kind
     std::map<std::string, TimePoint> m_knownUntil;          // by kind
     std::map<std::string, StorePosition> m_unsentNotices;   // newest changes, by kind
--- a/packages/fleet/src/fleet_vm.cpp
+++ b/packages/fleet/src/fleet_vm.cpp
@@ -24,6 +24,7 @@
 constexpr auto exitTime = std::chrono::milliseconds(400);            // of the grace time, for a late signal, the last answers and the exit
 constexpr double maxMillicores = 1e6;                                // plausibility limit for a registration
 constexpr auto deregistrationTimeout = std::chrono::seconds(90);     // a silent Vm without a seat is removed from the store after it
+constexpr auto minEvacuationWait = std::chrono::milliseconds(200);   // of a watch of the evacuations, however short their bound is
 constexpr auto releaseTime = std::chrono::milliseconds(200);         // of the exit time, for the write that gives up the seat
 
 // What a registration says of the Vm's seat.
@@ -168,6 +169,9 @@
     void registerIfNeeded();
     net::awaitable<void> registerSelf();
     void publishConfiguration();
+    bool followsEvacuations() const { return options.evacuationTime > Duration(0); }
+    void followEvacuations();
+    bool noteTargetsKnown();
     void applyDeclarations(const StoredDocument &document, const DeclarationsOrigin &origin);
     net::awaitable<void> applyRosterExpiry();
     net::awaitable<void> reportStatus();
@@ -202,6 +206,7 @@
     FollowHandler declarationsHandler;
     FollowHandler targetsHandler;
     FollowHandler vmsHandler;
+    FollowHandler evacuationsHandler;
     std::optional<PageServer> readiness;
     std::optional<PageServer> addresses;
     std::optional<PageServer> metricsPage;
@@ -302,6 +307,10 @@
     if (configuration.rosterRevision() == 0) {
         return; // targets not listed yet: every request would be refused
     }
+    if (followsEvacuations() && !configuration.hasEvacuations()) {
+        return; // requests could reach an evacuated domain
+    }
+    noteTargetsKnown();
     const std::shared_ptr<const Snapshot> snapshot = configuration.buildSnapshotIfChanged(clock.now());
     if (!snapshot) {
         return;
@@ -322,6 +331,13 @@
     }
 }
 
+// What is known of the store may be ahead of what is applied.
+bool FleetVm::Impl::noteTargetsKnown()
+{
+    const bool isApplied = feed.newestChange(format.targetsKind()) <= configuration.newestTargetChange();
+    return isApplied && configuration.noteTargetsKnown(feed.knownPosition(format.targetsKind()));
+}
+
 void FleetVm::Impl::applyDeclarations(const StoredDocument &document, const DeclarationsOrigin &origin)
 {
     const std::uint64_t previous = configuration.declarationsVersion();
@@ -345,10 +361,13 @@
     if (kind == format.vmsKind()) {
         members.noteStoreRestored(clock.now());
         admission.noteStoreRestored(clock.now());
-    } else if (change.current.era() > notedEra) { // once, whichever of the two kinds notices it first
+    } else if (change.current.era() > notedEra) { // once, whichever of the other kinds notices it first
         notedEra = change.current.era();
         configuration.noteStoreRestored(clock.now());
     }
+    if (kind == format.targetsKind()) {
+        configuration.noteTargetChange(change.current);
+    }
     feed.noteStoreRestored();
 }
 
@@ -426,9 +445,35 @@
                              }});
     follow(format.declarationsKind(), declarationsHandler);
     follow(format.targetsKind(), targetsHandler);
+    if (followsEvacuations()) {
+        followEvacuations();
+    }
     net::co_spawn(context, joinFleet(), net::detached);
 }
 
+// The calls of this kind say nothing about the roster's outages: the other kinds are watched more often. Half of the bound is left for a
+// watch that is lost, and for the way through other Vms.
+void FleetVm::Impl::followEvacuations()
+{
+    evacuationsHandler = {.onListed =
+                              [this](const DocumentList &list) {
+                                  newestChange = std::max(newestChange, list.position);
+                                  configuration.replaceEvacuations(list, clock.now());
+                              },
+                          .onChange =
+                              [this](const DocumentChange &change) {
+                                  newestChange = std::max(newestChange, change.position);
+                                  configuration.applyEvacuationChange(change, clock.now());
+                              },
+                          .onUpdated = [this] { publishConfiguration(); },
+                          .onEraChanged = [this](const EraChange &change) { recordEraChange(format.evacuationsKind(), change); }};
+    feed.setKeptKind(format.evacuationsKind());
+    const FollowOptions followOptions{.kind = format.evacuationsKind(),
+                                      .watchWait = std::max<Duration>(options.evacuationTime / 2, minEvacuationWait),
+                                      .watchPause = options.watchPause};
+    net::co_spawn(context, followKind(feed, followOptions, evacuationsHandler), net::detached);
+}
+
 // A restarted Vm finds its registration in the first list, which may be stale and costs little. Vms of a new fleet register at about
 // the same time, so a new Vm waits for the others before it lists them.
 net::awaitable<void> FleetVm::Impl::joinFleet()
@@ -479,7 +524,7 @@
             configuration.roster().noteStoreUnreachable(feed.lastStoreContactAt());
         }
         const std::optional<TimePoint> next = configuration.roster().nextRemoval();
-        if (next && *next <= clock.now()) {
+        if (noteTargetsKnown() || (next && *next <= clock.now())) {
             publishConfiguration();
         }
     }
--- a/packages/fleet/tests/feed_fleet.cpp
+++ b/packages/fleet/tests/feed_fleet.cpp
@@ -95,7 +95,7 @@
     m_portReservation.close();
     const Result<void> started = m_link.start();
     POLLENSPOKE_ASSERT(started.has_value(), "the tests must be able to bind a port on 127.0.0.1");
-    m_handler = {.onListed = [](const DocumentList &) {},
+    m_handler = {.onListed = [this](const DocumentList &list) { m_listed = list; },
                  .onChange = [this](const DocumentChange &change) { m_received.emplace(change.document.revision, m_clock.now()); },
                  .onUpdated = [] {}};
     net::co_spawn(m_fleet.context(), followKind(m_feed, {.kind = FakeHistory::kind, .watchWait = watchWait}, m_handler), net::detached);
--- a/packages/fleet/tests/feed_fleet.h
+++ b/packages/fleet/tests/feed_fleet.h
@@ -46,7 +46,9 @@
     void start(); // after all Vms of the fleet were created
     void kill();  // no more messages are answered or sent
     void setStoreAccess(StoreAccess access);
-    void setAnswerTime(Duration time) { m_answerTime = time; }                 // of the store, for each call
+    void setAnswerTime(Duration time) { m_answerTime = time; }     // of the store, for each call
+    void keepContents() { m_feed.setKeptKind(FakeHistory::kind); } // before the fleet runs
+    const std::optional<DocumentList> &listed() const { return m_listed; }
     void setReplyRate(double bytesPerSecond) { m_replyRate = bytesPerSecond; } // of its link; 0: unlimited
 
     const std::string &name() const { return m_name; }
@@ -89,6 +91,7 @@
     bool m_isSending = false;
     TimePoint m_startedAt;
     std::size_t m_storeCalls = 0;
+    std::optional<DocumentList> m_listed;          // the last one
     std::map<std::uint64_t, TimePoint> m_received; // by revision
 };
 
--- a/packages/fleet/tests/test_configuration.cpp
+++ b/packages/fleet/tests/test_configuration.cpp
@@ -19,6 +19,7 @@
     std::string declarationsName() const override { return "main"; }
     std::string targetsKind() const override { return "targets"; }
     std::string vmsKind() const override { return "vms"; }
+    std::string evacuationsKind() const override { return "evacuations"; }
 
     Result<Declarations> decodeDeclarations(const JsonValue &spec) const override
     {
@@ -39,14 +40,24 @@
         if (state == nullptr || sequence == nullptr) {
             return tl::unexpected(Error{.code = ErrorCode::MissingField, .path = "target " + name, .detail = "is incomplete"});
         }
+        const JsonValue *domain = spec.find("domain");
         const Target target{.name = {name},
                             .address = {.ip = "10.0.0.1", .port = 80},
+                            .failureDomain = {domain == nullptr ? std::string() : domain->text},
                             .slots = 2,
                             .state = state->text == "ready" ? TargetState::Serving : TargetState::Leaving};
         const RegistrationNumber number{.startedAtMs = 1790000000000, .sequence = static_cast<std::uint64_t>(sequence->number)};
         return TargetRecord{.entry = {.service = service, .target = target, .number = number}};
     }
 
+    Result<FailureDomain> decodeEvacuation(const std::string &name, const JsonValue & /*spec*/) const override
+    {
+        if (name.empty()) {
+            return tl::unexpected(Error{.code = ErrorCode::OutOfRange, .path = "evacuation", .detail = "has no name"});
+        }
+        return FailureDomain{name};
+    }
+
     std::string readinessPath() const override { return "/ready"; }
     std::string addressPath() const override { return "/addresses"; }
     FailureDomain decodeAddressQuery(const std::string & /*query*/) const override { return {}; }
@@ -74,8 +85,43 @@
     return {.name = name, .spec = JsonValue::makeObject()};
 }
 
+StoredDocument makeTargetIn(const std::string &domain, const std::string &name)
+{
+    StoredDocument document = makeTarget(name, 1);
+    document.spec.add("domain", domain);
+    return document;
+}
+
+StoredDocument makeEvacuation(const std::string &domain, std::uint64_t revision = 1)
+{
+    return {.name = domain, .revision = revision, .spec = JsonValue::makeObject()};
+}
+
 struct Fixture
 {
+    // Names of the targets in a new snapshot for which the predicate holds.
+    template<typename Predicate>
+    std::vector<std::string> select(const Predicate &predicate)
+    {
+        const std::shared_ptr<const Snapshot> snapshot = configuration.buildSnapshotIfChanged(start);
+        latest = snapshot ? snapshot : latest;
+        std::vector<std::string> names;
+        for (const Target &it : latest->findService(service)->targets) {
+            if (predicate(it)) {
+                names.push_back(it.name.value);
+            }
+        }
+        return names;
+    }
+    std::vector<std::string> evacuated()
+    {
+        return select([](const Target &it) { return it.isEvacuated; });
+    }
+    std::vector<std::string> unknownWarmup()
+    {
+        return select([](const Target &it) { return it.isWarmupUnknown; });
+    }
+
     std::vector<std::string> servingNames(TimePoint now)
     {
         std::vector<std::string> names;
@@ -92,6 +138,7 @@
     FakeFormat format;
     Metrics metrics;
     Configuration configuration{format, metrics};
+    std::shared_ptr<const Snapshot> latest;
 };
 
 using Names = std::vector<std::string>;
@@ -224,3 +271,86 @@
     BOOST_TEST(third->findService(service)->targets.size() == 2U);
     BOOST_TEST(second->findRoutes("stock.example", "/x").front().route != third->findRoutes("stock.example", "/x").front().route);
 }
+
+struct EvacuationFixture : Fixture
+{
+    EvacuationFixture()
+    {
+        configuration.applyDeclarations(makeDeclarations(1));
+        configuration.replaceTargets({.position = {1, 10}, .items = {makeTargetIn("fd-a", "a"), makeTargetIn("fd-b", "b")}}, start);
+    }
+};
+
+// Guards against an evacuation without effect on the snapshot, one that takes other domains with it, and one that doesn't end.
+BOOST_FIXTURE_TEST_CASE(targets_of_evacuated_domains_are_marked_until_their_return, EvacuationFixture)
+{
+    BOOST_TEST(!configuration.hasEvacuations());
+    configuration.replaceEvacuations({.position = {1, 5}}, start);
+    BOOST_TEST(configuration.hasEvacuations());
+    BOOST_TEST((evacuated() == Names{}));
+    configuration.applyEvacuationChange({.document = makeEvacuation("fd-a", 11), .position = {1, 11}}, start);
+    BOOST_TEST((evacuated() == Names{"a"}));
+    BOOST_TEST(metrics.value(Gauge::EvacuatedDomains) == 1);
+    configuration.applyEvacuationChange({.document = makeEvacuation("fd-a", 12), .position = {1, 12}}, start); // written again
+    configuration.applyEvacuationChange({.document = makeEvacuation("fd-b", 13), .position = {1, 13}}, start);
+    BOOST_TEST((evacuated() == Names{"a", "b"}));
+    configuration.applyEvacuationChange({.isDeleted = true, .document = makeEvacuation("fd-a"), .position = {1, 14}}, start);
+    BOOST_TEST((evacuated() == Names{"b"}));
+    configuration.applyEvacuationChange({.isDeleted = true, .document = makeEvacuation("fd-a"), .position = {1, 14}}, start);
+    BOOST_TEST(metrics.value(Gauge::EvacuatedDomains) == 1);
+    configuration.replaceTargets({.position = {1, 15}, .items = {makeTargetIn("fd-a", "a"), makeTargetIn("fd-b", "c")}}, start);
+    BOOST_TEST((evacuated() == Names{"c"})); // it registered inside the evacuation
+}
+
+// Guards against an evacuation that goes on after the store dropped its history, or is lost with it.
+BOOST_FIXTURE_TEST_CASE(a_new_list_replaces_the_evacuations, EvacuationFixture)
+{
+    configuration.replaceEvacuations({.position = {1, 5}, .items = {makeEvacuation("fd-a")}}, start);
+    BOOST_TEST((evacuated() == Names{"a"}));
+    configuration.replaceEvacuations({.position = {1, 20}, .items = {makeEvacuation("fd-a"), makeEvacuation("fd-b", 18)}}, start);
+    BOOST_TEST((evacuated() == Names{"a", "b"}));
+    configuration.replaceEvacuations({.position = {1, 30}, .items = {makeEvacuation("fd-b", 18)}}, start);
+    BOOST_TEST((evacuated() == Names{"b"}));
+    configuration.replaceEvacuations({.position = {2, 3}}, start);
+    BOOST_TEST((evacuated() == Names{}));
+}
+
+// Guards against an unreadable entry that hides the others.
+BOOST_FIXTURE_TEST_CASE(an_unreadable_evacuation_is_skipped_and_counted, EvacuationFixture)
+{
+    configuration.replaceEvacuations({.position = {1, 5}, .items = {makeEvacuation(""), makeEvacuation("fd-b")}}, start);
+    BOOST_TEST((evacuated() == Names{"b"}));
+    BOOST_TEST(metrics.value(Counter::ObjectsSkipped) == 1U);
+    configuration.applyEvacuationChange({.document = makeEvacuation("", 6), .position = {1, 6}}, start);
+    configuration.applyEvacuationChange({.isDeleted = true, .document = makeEvacuation("", 7), .position = {1, 7}}, start);
+    BOOST_TEST((evacuated() == Names{"b"}));
+    BOOST_TEST(metrics.value(Counter::ObjectsSkipped) == 2U);
+}
+
+// Guards against a burst at targets that became cold shortly before the evacuation ended, when their registrations are on their way.
+BOOST_FIXTURE_TEST_CASE(the_warm_up_is_unknown_until_the_registrations_are_as_new_as_the_end_of_the_evacuation, EvacuationFixture)
+{
+    configuration.replaceEvacuations({.position = {1, 9}}, start);
+    configuration.applyEvacuationChange({.document = makeEvacuation("fd-a", 11), .position = {1, 11}}, start);
+    BOOST_TEST((unknownWarmup() == Names{}));
+    configuration.applyEvacuationChange({.isDeleted = true, .document = makeEvacuation("fd-a"), .position = {1, 20}}, start);
+    BOOST_TEST((unknownWarmup() == Names{"a"}));
+    BOOST_TEST(!configuration.noteTargetsKnown({1, 19}));
+    BOOST_TEST((unknownWarmup() == Names{"a"}));
+    BOOST_TEST(configuration.noteTargetsKnown({1, 20}));
+    BOOST_TEST((unknownWarmup() == Names{}));
+    BOOST_TEST(!configuration.noteTargetsKnown({1, 21}));
+}
+
+// Guards against a Vm that starts, or lists again, after the end of an evacuation of which it never knew, with older registrations.
+BOOST_FIXTURE_TEST_CASE(the_warm_up_is_unknown_while_the_registrations_are_older_than_the_list_of_evacuations, EvacuationFixture)
+{
+    configuration.replaceEvacuations({.position = {1, 12}, .items = {makeEvacuation("fd-b")}}, start);
+    BOOST_TEST((unknownWarmup() == Names{"a"}));
+    BOOST_TEST(configuration.noteTargetsKnown({1, 12}));
+    BOOST_TEST((unknownWarmup() == Names{}));
+    configuration.replaceEvacuations({.position = {2, 1}, .items = {makeEvacuation("fd-b")}}, start);
+    BOOST_TEST((unknownWarmup() == Names{"a"}));
+    configuration.replaceTargets({.position = {2, 1}, .items = {makeTargetIn("fd-a", "a")}}, start);
+    BOOST_TEST((unknownWarmup() == Names{}));
+}
--- a/packages/fleet/tests/test_feed.cpp
+++ b/packages/fleet/tests/test_feed.cpp
@@ -269,3 +269,25 @@
         BOOST_TEST(!std::get<FeedReply>(decodeDatagram(bytes)->second).changes.at("config").has_value());
     }
 }
+
+// Guards against a Vm that lists at another one and gets the recent changes only, or documents that were removed.
+BOOST_AUTO_TEST_CASE(a_log_that_keeps_contents_answers_a_vm_that_knows_nothing)
+{
+    ChangeLog log;
+    log.keepContents();
+    BOOST_TEST(!log.since({}).has_value());
+    log.addList({.position = {1, 40}, .items = {{.name = "fd-a", .revision = 30}, {.name = "fd-b", .revision = 31}}});
+    log.add({.position = {1, 42},
+             .events = {{.isDeleted = true, .document = {.name = "fd-a", .revision = 41}, .position = {1, 41}},
+                        {.document = {.name = "fd-c", .revision = 42}, .position = {1, 42}}}});
+    const std::optional<DocumentChanges> all = log.since({});
+    BOOST_REQUIRE(all.has_value());
+    BOOST_TEST((all->position == StorePosition(1, 42)));
+    BOOST_REQUIRE(all->events.size() == 2U);
+    BOOST_TEST(all->events[0].document.name == "fd-b");
+    BOOST_TEST(all->events[1].document.name == "fd-c");
+
+    ChangeLog plain;
+    plain.addList({.position = {1, 40}, .items = {{.name = "fd-a", .revision = 30}}});
+    BOOST_TEST(!plain.since({}).has_value());
+}
--- a/packages/fleet/tests/test_feed_fleet.cpp
+++ b/packages/fleet/tests/test_feed_fleet.cpp
@@ -126,3 +126,23 @@
     BOOST_TEST(fleet.waitFor(revision, bound).empty());
     BOOST_TEST(fleet.vm(FeedFleet::seats).storeCalls() == callsBefore); // it came from another VM
 }
+
+// Guards against a Vm that starts while the store is away and never learns of the evacuations, which the other Vms know.
+BOOST_AUTO_TEST_CASE(a_vm_that_the_store_does_not_answer_lists_a_kept_kind_at_another_vm)
+{
+    constexpr std::size_t latecomer = FeedFleet::seats;
+    FeedFleet fleet(2);
+    for (FeedVm &it : fleet.vms()) {
+        it.keepContents();
+    }
+    fleet.write("first");
+    fleet.vm(latecomer).setStoreAccess(StoreAccess::Refused);
+    fleet.run(std::chrono::milliseconds(5000));
+    const std::optional<DocumentList> &listed = fleet.vm(latecomer).listed();
+    BOOST_REQUIRE(listed.has_value());
+    BOOST_REQUIRE(listed->items.size() == 1U);
+    BOOST_TEST(listed->items.front().name == "main");
+    BOOST_TEST((listed->position == fleet.history().position()));
+    const std::uint64_t revision = fleet.write("second");
+    BOOST_TEST(fleet.waitFor(revision, std::chrono::seconds(3)).empty());
+}
