--- a/deploy/sample-settings.sed
+++ b/deploy/sample-settings.sed
@@ -16,3 +16,7 @@
 s/{{limits\.cpu-cores}}/1/
 s/{{limits\.bandwidth-mbps}}/200.0/
 s/{{limits\.max-fds}}/4100/
+s/{{[#/]bounds\.[a-z-]*}}//g
+s/{{bounds\.evacuation-ms}}/5000/
+s/{{bounds\.warmup-overage}}/1.5/
+s/{{bounds\.warmup-slack}}/8/
