--- a/apps/pollenspoked/settings.cpp
+++ b/apps/pollenspoked/settings.cpp
@@ -282,6 +282,7 @@
     section.readMs("first_pause_ms", dispatch.balancer.firstPause);
     section.readMs("longest_pause_ms", dispatch.balancer.longestPause);
     section.readNumber("floor_percent", dispatch.balancer.floorPercent, 0, 100);
+    section.readNumber("hedge_percent", dispatch.hedge.percent, 0, 20);
     section.rejectUnknownKeys();
 }
 
