--- a/packages/policy/src/balancer.cpp
+++ b/packages/policy/src/balancer.cpp
@@ -618,8 +618,8 @@
     const bool isReturning = member.returnedAt != TimePoint() && now - member.returnedAt < m_options.returnTime;
     const bool isTried = std::find(request.tried.begin(), request.tried.end(), member.target.name) != request.tried.end();
     return isOpen(member, now) && !isTried && !isLimited && !hasFailed(member) && !member.isHalfOpen && !isReturning
-        && pausedUntil(member, now) <= now && avoidedUntil(member, request, now) <= now && member.warmupUntil <= now && !isPossiblyStuck(member, now)
-        && hasCapacity(member, request, now);
+        && pausedUntil(member, now) <= now && avoidedUntil(member, request, now) <= now && member.warmupUntil <= now && !member.warmup.isLimited(now)
+        && !isPossiblyStuck(member, now) && hasCapacity(member, request, now);
 }
 
 std::optional<Target> ServiceBalancer::chooseForHedge(const ChoiceRequest &request, TimePoint now, Generator &generator)
