Queue: accounts take turns at scarce slots where fair shares are enabled

Requests that wait for a target are ordered by rank and arrival, so that the backlog of one hot account delays the requests of all others of its rank.

FairQueue orders them by rank, then by accounts with start-time fair queueing over ClientAccount::weight, requests that can still meet their objective first, and within an account by arrival. It is enabled by `dispatch.fair_shares` (DispatchOptions::hasFairShares, default false). The objective of a request that is sent again counts from its arrival.

--- a/apps/pollenspoked/settings.cpp
+++ b/apps/pollenspoked/settings.cpp
@@ -106,6 +106,17 @@
         value = number;
     }
 
+    void readFlag(const std::string &key, bool &value)
+    {
+        const YAML::Node node = readNode(key, false);
+        if (!node.IsDefined()) {
+            return;
+        }
+        if (!node.IsScalar() || !YAML::convert<bool>::decode(node, value)) {
+            fail(ErrorCode::WrongType, node, pathOf(key), "must be true or false");
+        }
+    }
+
     void readMs(const std::string &key, Duration &value)
     {
         auto ms = static_cast<std::uint32_t>(std::chrono::duration_cast<std::chrono::milliseconds>(value).count());
@@ -275,6 +286,7 @@
     section.readMs("first_pause_ms", dispatch.balancer.firstPause);
     section.readMs("longest_pause_ms", dispatch.balancer.longestPause);
     section.readNumber("floor_percent", dispatch.balancer.floorPercent, 0, 100);
+    section.readFlag("fair_shares", dispatch.hasFairShares);
     section.rejectUnknownKeys();
 }
 
--- a/apps/tests/test_settings.cpp
+++ b/apps/tests/test_settings.cpp
@@ -136,6 +136,20 @@
     }
 }
 
+// A switch that is misspelled must not count as off.
+BOOST_AUTO_TEST_CASE(flags_are_true_or_false)
+{
+    const auto isOn = [](const std::string &value) {
+        return load(vmAndListen + httpPlatform + "dispatch: {fair_shares: " + value + "}\n").value().proxy.dispatch.hasFairShares;
+    };
+    BOOST_TEST(!load(vmAndListen + httpPlatform).value().proxy.dispatch.hasFairShares);
+    BOOST_TEST(isOn("true"));
+    BOOST_TEST(!isOn("false"));
+    for (const char *it : {"2", "ja", "[true]"}) {
+        BOOST_TEST((errorOf(vmAndListen + httpPlatform + "dispatch: {fair_shares: " + it + "}\n").code == ErrorCode::WrongType), it);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(duplicate_key_and_invalid_yaml_are_refused)
 {
     BOOST_TEST((errorOf(vmAndListen + httpPlatform + "workers: 2\nworkers: 3\n").code == ErrorCode::Duplicate));
--- a/packages/policy/include/pollenspoke/policy.h
+++ b/packages/policy/include/pollenspoke/policy.h
@@ -17,6 +17,7 @@
 /// - [11] Fleet-wide token pool    (QuotaPoolOptions, QuotaPool)
 /// - [12] Target roster            (RegistrationNumber, RosterEntry, TargetDeparture, TargetRoster)
 /// - [13] Planned stop             (StopSchedule, PlannedStop)
+/// - [14] Queue of a service       (FairQueueOptions, QueuedRequest, FairQueue)
 ///
 /// Example:
 /// @code
@@ -1392,4 +1393,93 @@
     TimePoint m_endsAt;
 };
 
+//-----------------------------------------------------------------------------
+// [14] Queue of a service
+//-----------------------------------------------------------------------------
+// Requests that found no free slot wait at the Vm that received them, in one queue per service.
+//
+// - Rank comes first. Without fair shares, requests of a rank are served by arrival.
+// - With fair shares, requests that can still meet their objective come before those that can't, and within each of these two classes the
+//   accounts take turns by start-time fair queueing: each start costs an account 1 / weight of virtual time, and the account that has used
+//   least goes next. Within an account, requests are served by arrival.
+// - An account that begins to wait starts at the virtual time of those that wait already. So it isn't put behind the backlog of a hot
+//   account, and it can't save up time without requests.
+// - A request that leaves without a slot costs its account nothing.
+
+struct FairQueueOptions
+{
+    bool hasFairShares = false;                     // false: within a rank by arrival
+    Duration shareMemory = std::chrono::seconds(1); // after this time without a waiting request the past use of an account is forgotten
+    auto operator<=>(const FairQueueOptions &) const = default;
+};
+
+struct QueuedRequest
+{
+    std::uint64_t sequence = 0; // unique, in the order of arrival
+    std::uint32_t rank = 0;     // 0 first
+    AccountName account;
+    std::uint32_t weight = 1;             // of the account, at least 1
+    TimePoint startBy = TimePoint::max(); // latest start that meets its objective; max: it has none
+    auto operator<=>(const QueuedRequest &) const = default;
+};
+
+/// Order of the requests that wait for a slot of one service.
+class FairQueue
+{
+public:
+    explicit FairQueue(FairQueueOptions options = {});
+
+    void push(const QueuedRequest &request, TimePoint now);
+    void remove(std::uint64_t sequence, TimePoint now);          // it leaves without a slot
+    void start(std::uint64_t sequence, TimePoint now);           // it gets a slot
+    void noteStart(const QueuedRequest &request, TimePoint now); // a request got a slot that isn't in the queue
+
+    /// Sequences of the first `n` requests, in order.
+    std::vector<std::uint64_t> first(std::size_t n, TimePoint now);
+
+    /// Waiting requests that go before the given one, which may be in the queue or not. 0 for one that isn't: it goes first.
+    std::size_t countAhead(const QueuedRequest &request, TimePoint now);
+
+    bool contains(std::uint64_t sequence) const { return m_requests.contains(sequence); }
+    std::size_t size() const { return m_requests.size(); }
+    bool empty() const { return m_requests.empty(); }
+
+private:
+    // The requests of one account and rank.
+    struct Flow
+    {
+        double startTag = 0; // virtual time at which its next request starts
+        std::uint32_t weight = 1;
+        std::set<std::uint64_t> timely; // can still meet their objective
+        std::set<std::uint64_t> late;
+        TimePoint usedAt; // newest start, or end of its newest wait
+
+        bool isWaiting() const { return !timely.empty() || !late.empty(); }
+        double tagAfter(std::size_t starts) const { return startTag + static_cast<double>(starts) / weight; }
+    };
+    struct Lane // of one rank
+    {
+        double virtualTime = 0;
+        std::map<AccountName, Flow> flows;
+        std::size_t size = 0;
+    };
+
+    AccountName flowName(const QueuedRequest &request) const { return m_options.hasFairShares ? request.account : AccountName(); }
+    bool isLate(const QueuedRequest &request, TimePoint now) const { return m_options.hasFairShares && request.startBy < now; }
+    double tagOnArrival(const Lane &lane, const Flow &flow, TimePoint now) const;
+    Flow &useFlow(const QueuedRequest &request, TimePoint now);
+    std::optional<QueuedRequest> take(std::uint64_t sequence, TimePoint usedAt);
+    void charge(const QueuedRequest &request, TimePoint now);
+    void sortOutLate(TimePoint now);
+    void forgetUnused(Lane &lane, TimePoint now) const;
+    static std::size_t countInFlow(const Flow &flow, std::size_t startsBefore, std::size_t waiting, double beforeTag);
+    static void appendInOrder(const Lane &lane, std::size_t n, std::vector<std::uint64_t> &sequences);
+
+    FairQueueOptions m_options;
+    std::map<std::uint32_t, Lane> m_lanes; // by rank
+    std::map<std::uint64_t, QueuedRequest> m_requests;
+    std::set<std::pair<TimePoint, std::uint64_t>> m_startBys; // of the timely requests that have an objective
+    TimePoint m_forgottenAt;
+};
+
 } // namespace Pollenspoke
--- a/packages/proxy/include/pollenspoke/proxy.h
+++ b/packages/proxy/include/pollenspoke/proxy.h
@@ -83,6 +83,7 @@
     std::uint32_t shortestPatienceMs = 250;          // lower bound of that limit
     RetryBudgetOptions retryBudget{.reserve = 1000}; // per service
     BalancerOptions balancer;
+    bool hasFairShares = false; // accounts take turns at scarce slots, by weight
 };
 
 struct ProxyOptions
--- a/packages/proxy/src/dispatcher.cpp
+++ b/packages/proxy/src/dispatcher.cpp
@@ -175,9 +175,10 @@
 
 net::awaitable<std::optional<Refusal>> Dispatcher::dispatch(DispatchRequest &request, DispatchTrace &trace, ReplyWriter &reply)
 {
-    Progress progress{.plan = {.isIdempotent = request.resolved.isIdempotent,
-                               .maxAttempts = request.resolved.route->maxAttempts,
-                               .deadline = request.deadline}};
+    Progress progress{
+        .plan
+        = {.isIdempotent = request.resolved.isIdempotent, .maxAttempts = request.resolved.route->maxAttempts, .deadline = request.deadline},
+        .startedAt = m_dependencies.clock.now()};
     m_targets.noteRequest(request.resolved.serviceName);
     while (progress.replacement
            || (progress.plan.attempt <= progress.plan.maxAttempts && progress.connectFailures < maxConnectFailures
@@ -365,12 +366,15 @@
     const AcquireRequest acquireRequest{.service = resolved.serviceName,
                                         .route = resolved.routeName,
                                         .tried = std::move(tried),
+                                        .account = resolved.caller.accountName,
+                                        .weight = resolved.caller.account != nullptr ? resolved.caller.account->weight : 1,
                                         .priority = resolved.effectivePriority(),
                                         .limit = connectionLimit(*resolved.service),
                                         .isRetryable = resolved.isIdempotent && progress.plan.attempt < progress.plan.maxAttempts,
                                         .mayOvercommit = mayOvercommit,
                                         .objective = milliseconds(resolved.route->objectiveMs),
-                                        .deadline = request.deadline};
+                                        .deadline = request.deadline,
+                                        .arrivedAt = progress.startedAt};
     co_return co_await m_targets.acquire(acquireRequest, reservation);
 }
 
--- a/packages/proxy/src/dispatcher.h
+++ b/packages/proxy/src/dispatcher.h
@@ -115,6 +115,7 @@
     struct Progress
     {
         AttemptPlan plan;
+        TimePoint startedAt;
         std::vector<TargetName> tried;
         std::vector<TargetName> ranAt; // targets that may have executed the request
         std::uint32_t sendCount = 0;   // attempts that wrote at least one byte to a target
--- a/packages/proxy/src/target_table.cpp
+++ b/packages/proxy/src/target_table.cpp
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr auto queuePollInterval = std::chrono::milliseconds(20); // waiters poll, as no event signals the end of a target's pause
+constexpr std::size_t maxWokenWaiters = 16;                       // at a time; each that leaves the queue wakes the next ones
 constexpr auto minRetryAfter = std::chrono::milliseconds(100);
 constexpr auto noTargetRetryAfter = std::chrono::seconds(1); // the service has no target that can be expected to accept requests
 
@@ -101,13 +102,15 @@
     {
         const std::lock_guard lock(m_table.m_mutex);
         Entry &entry = m_table.entry(m_service);
-        entry.queue.erase(key());
-        wakeWaiters(entry, m_table.m_clock.now());
+        const TimePoint now = m_table.m_clock.now();
+        entry.queue.remove(sequence(), now); // unless it has started
+        entry.waiters.erase(sequence());
+        wakeWaiters(entry, now);
     }
     QueueEntry(const QueueEntry &) = delete;
     QueueEntry &operator=(const QueueEntry &) = delete;
 
-    QueueKey key() const { return {m_waiter->priority, m_waiter->sequence}; }
+    std::uint64_t sequence() const { return m_waiter->sequence; }
     net::steady_timer &timer() { return m_waiter->timer; }
 
 private:
@@ -130,7 +133,9 @@
         return it->second;
     }
     const DispatchOptions &dispatch = m_options.dispatch;
-    Entry newEntry{.balancer = ServiceBalancer(dispatch.balancer), .budget = RetryBudget(dispatch.retryBudget)};
+    Entry newEntry{.balancer = ServiceBalancer(dispatch.balancer),
+                   .budget = RetryBudget(dispatch.retryBudget),
+                   .queue = FairQueue({.hasFairShares = dispatch.hasFairShares})};
     newEntry.budget.setShare(m_retryShare);
     newEntry.balancer.setLimitSharers(m_limitSharers, m_clock.now());
     return m_entries.emplace(service, std::move(newEntry)).first->second;
@@ -231,9 +236,13 @@
 
 void TargetTable::wakeWaiters(Entry &entry, TimePoint now)
 {
-    std::uint32_t free = entry.queue.empty() ? 0 : entry.balancer.freeSlots(now);
-    for (auto it = entry.queue.begin(); it != entry.queue.end() && free > 0; ++it, --free) {
-        net::post(it->second->timer.get_executor(), [waiter = it->second] { waiter->timer.cancel(); });
+    if (entry.queue.empty()) {
+        return;
+    }
+    const std::size_t free = std::min<std::size_t>(entry.balancer.freeSlots(now), maxWokenWaiters);
+    for (const std::uint64_t it : entry.queue.first(free, now)) {
+        const std::shared_ptr<Waiter> &waiter = entry.waiters.at(it);
+        net::post(waiter->timer.get_executor(), [waiter] { waiter->timer.cancel(); });
     }
 }
 
@@ -264,6 +273,7 @@
     reservation = TargetReservation();
     const TimePoint requestedAt = m_clock.now();
     const auto executor = co_await net::this_coro::executor;
+    QueuedRequest queued{.sequence = UINT64_MAX, .rank = request.priority, .account = request.account, .weight = request.weight};
     std::optional<QueueEntry> queueEntry;
     Duration maxWait{};
     for (;;) {
@@ -271,27 +281,32 @@
         {
             const std::lock_guard lock(m_mutex);
             Entry &it = entry(request.service);
-            maxWait = maxQueueTime(request.objective, request.deadline - requestedAt, it.balancer.usualLatency(request.route));
+            const Duration usualLatency = it.balancer.usualLatency(request.route);
+            maxWait = maxQueueTime(request.objective, request.deadline - requestedAt, usualLatency);
+            if (!queueEntry && request.objective > Duration::zero()) {
+                queued.startBy = request.arrivedAt.value_or(requestedAt) + request.objective - usualLatency;
+            }
             const std::optional<TimePoint> opensAt = it.balancer.opensAt(now);
             if (!opensAt || *opensAt > std::max(requestedAt + maxWait, now)) {
                 co_return tl::unexpected(AcquireFailure::NoTarget);
             }
-            const bool isAtFront = queueEntry ? it.queue.begin()->first == queueEntry->key()
-                                              : it.queue.empty() || request.priority < it.queue.begin()->first.first;
+            const std::size_t waitersAhead = queueEntry ? 0 : it.queue.countAhead(queued, now);
+            const bool isAtFront = queueEntry ? it.queue.first(1, now).front() == queued.sequence : waitersAhead == 0;
             const bool hasWaitedLong = queueEntry && now - requestedAt >= maxWait / 2;
             if (isAtFront || hasWaitedLong) {
                 if (std::optional<Target> target = tryReserve(it, request, hasWaitedLong && request.mayOvercommit, reservation)) {
+                    queueEntry ? it.queue.start(queued.sequence, now) : it.queue.noteStart(queued, now);
                     co_return std::move(*target);
                 }
             }
             if (!queueEntry) {
-                const QueueKey last{request.priority, UINT64_MAX};
-                const auto waitersAhead = static_cast<std::size_t>(std::distance(it.queue.begin(), it.queue.upper_bound(last)));
                 if (expectedWait(it, waitersAhead, now) > maxWait) {
                     co_return tl::unexpected(AcquireFailure::QueueFull);
                 }
-                auto waiter = std::make_shared<Waiter>(Waiter{request.priority, ++m_lastSequence, net::steady_timer(executor)});
-                it.queue.emplace(QueueKey{waiter->priority, waiter->sequence}, waiter);
+                queued.sequence = ++m_lastSequence;
+                auto waiter = std::make_shared<Waiter>(Waiter{queued.sequence, net::steady_timer(executor)});
+                it.queue.push(queued, now);
+                it.waiters.emplace(queued.sequence, waiter);
                 queueEntry.emplace(*this, request.service, std::move(waiter));
             }
         }
--- a/packages/proxy/src/target_table.h
+++ b/packages/proxy/src/target_table.h
@@ -58,12 +58,15 @@
     ServiceName service;
     RouteName route;
     std::vector<TargetName> tried;
-    std::uint32_t priority = 0; // queue order, 0 first
-    std::uint32_t limit = 1;    // connections from this Vm to one target
-    bool isRetryable = true;    // may be retried after a failure
-    bool mayOvercommit = true;  // after a long wait, a target may hold one more than its slots and queue
-    Duration objective{};       // latency objective of the route
-    TimePoint deadline;         // of the request
+    AccountName account;                  // empty: none
+    std::uint32_t weight = 1;             // of the account
+    std::uint32_t priority = 0;           // queue order, 0 first
+    std::uint32_t limit = 1;              // connections from this Vm to one target
+    bool isRetryable = true;              // may be retried after a failure
+    bool mayOvercommit = true;            // after a long wait, a target may hold one more than its slots and queue
+    Duration objective{};                 // latency objective of the route
+    TimePoint deadline;                   // of the request
+    std::optional<TimePoint> arrivedAt{}; // of the request, for its objective; empty: now
 };
 
 class TargetTable
@@ -111,17 +114,15 @@
 private:
     struct Waiter
     {
-        std::uint32_t priority = 0;
         std::uint64_t sequence = 0;
         net::steady_timer timer;
     };
-    using QueueKey = std::pair<std::uint32_t, std::uint64_t>; // priority, sequence
-
     struct Entry
     {
         ServiceBalancer balancer;
         RetryBudget budget;
-        std::map<QueueKey, std::shared_ptr<Waiter>> queue;
+        FairQueue queue;
+        std::map<std::uint64_t, std::shared_ptr<Waiter>> waiters; // of the requests in the queue, by sequence
     };
     class QueueEntry;
 
