--- a/packages/proxy/include/pollenspoke/proxy.h
+++ b/packages/proxy/include/pollenspoke/proxy.h
@@ -85,6 +85,7 @@
     RetryBudgetOptions retryBudget{.reserve = 1000}; // per service
     BalancerOptions balancer;
     HedgeOptions hedge; // per service
+    bool hasFairShares = false; // accounts take turns at scarce slots, by weight
 };
 
 struct ProxyOptions
