Fleet: the targets are listed after the evacuations

Cause: at a start, both lists were read at the same time, and with an older list of targets their warm-up counted as unknown for up to a watch, also where no domain was evacuated. Change: where evacuations are followed, the targets are listed once the evacuations are. Tests: platform.evacuations passes.

--- a/packages/fleet/src/fleet_vm.cpp
+++ b/packages/fleet/src/fleet_vm.cpp
@@ -91,6 +91,8 @@
     net::awaitable<void> registerSelf();
     void publishConfiguration();
     bool followsEvacuations() const { return options.evacuationTime > Duration(0); }
+    void follow(const std::string &kind, const FollowHandler &handler, Duration watchWait);
+    void followTargets();
     void followEvacuations();
     bool noteTargetsKnown();
     void applyDeclarations(const StoredDocument &document, const DeclarationsOrigin &origin);
@@ -142,6 +144,7 @@
     std::uint64_t registrationDemands = 0; // counts the times that the store was found to lack this Vm's registration
     std::uint64_t notedEra = 0;            // of the store, in the configuration
     bool hasRegistrationList = false;
+    bool isFollowingTargets = false;
     SeatFence seatFence;
     std::optional<StorePosition> seatUsedAt; // by an earlier process; empty after the first list
     bool isConfirmingSeat = false;
@@ -347,10 +350,6 @@
                   .onCallFailed = onCallFailed,
                   .onCallSucceeded = onCallSucceeded,
                   .onEraChanged = onEraChanged(format.vmsKind())};
-    const auto follow = [this](const std::string &kind, const FollowHandler &handler) {
-        const FollowOptions followOptions{.kind = kind, .watchWait = options.watchWait, .watchPause = options.watchPause};
-        net::co_spawn(context, followKind(feed, followOptions, handler), net::detached);
-    };
     feed.setHeldContent({.declarationsVersion = [this] { return configuration.declarationsVersion(); },
                          .declarations = [this] { return configuration.declarationsDocument(); },
                          .onDeclarations =
@@ -364,16 +363,31 @@
                                  configuration.applyDepartures(departures, clock.now());
                                  publishConfiguration();
                              }});
-    follow(format.declarationsKind(), declarationsHandler);
-    follow(format.targetsKind(), targetsHandler);
+    follow(format.declarationsKind(), declarationsHandler, options.watchWait);
     if (followsEvacuations()) {
         followEvacuations();
+    } else {
+        followTargets();
     }
     net::co_spawn(context, joinFleet(), net::detached);
 }
 
+void FleetVm::Impl::follow(const std::string &kind, const FollowHandler &handler, Duration watchWait)
+{
+    const FollowOptions followOptions{.kind = kind, .watchWait = watchWait, .watchPause = options.watchPause};
+    net::co_spawn(context, followKind(feed, followOptions, handler), net::detached);
+}
+
+void FleetVm::Impl::followTargets()
+{
+    if (!std::exchange(isFollowingTargets, true)) {
+        follow(format.targetsKind(), targetsHandler, options.watchWait);
+    }
+}
+
 // The calls of this kind say nothing about the roster's outages: the other kinds are watched more often. Half of the bound is left for a
-// watch that is lost, and for the way through other Vms.
+// watch that is lost, and for the way through other Vms. The targets are listed afterwards, since with an older list their warm-up would
+// count as unknown at each start.
 void FleetVm::Impl::followEvacuations()
 {
     evacuationsHandler = {.onListed =
@@ -386,13 +400,14 @@
                                   newestChange = std::max(newestChange, change.position);
                                   configuration.applyEvacuationChange(change, clock.now());
                               },
-                          .onUpdated = [this] { publishConfiguration(); },
+                          .onUpdated =
+                              [this] {
+                                  followTargets();
+                                  publishConfiguration();
+                              },
                           .onEraChanged = [this](const EraChange &change) { recordEraChange(format.evacuationsKind(), change); }};
     feed.setKeptKind(format.evacuationsKind());
-    const FollowOptions followOptions{.kind = format.evacuationsKind(),
-                                      .watchWait = std::max<Duration>(options.evacuationTime / 2, minEvacuationWait),
-                                      .watchPause = options.watchPause};
-    net::co_spawn(context, followKind(feed, followOptions, evacuationsHandler), net::detached);
+    follow(format.evacuationsKind(), evacuationsHandler, std::max<Duration>(options.evacuationTime / 2, minEvacuationWait));
 }
 
 // A restarted Vm finds its registration in the first list, which may be stale and costs little. Vms of a new fleet register at about
