--- a/apps/pollenspoked/settings.cpp
+++ b/apps/pollenspoked/settings.cpp
@@ -285,6 +285,7 @@
     section.readReal("warmup_overage", dispatch.balancer.warmup.overage, 1, 10);
     section.readReal("warmup_slack", dispatch.balancer.warmup.slack, 0, 1000);
     section.readNumber("floor_percent", dispatch.balancer.floorPercent, 0, 100);
+    section.readNumber("hedge_percent", dispatch.hedge.percent, 0, 20);
     section.rejectUnknownKeys();
 }
 
--- a/apps/tests/test_settings.cpp
+++ b/apps/tests/test_settings.cpp
@@ -54,6 +54,7 @@
     {"dispatch", "stream_part_bytes", 1024, 1048576},
     {"dispatch", "answer_header_bytes", 1024, 1048576},
     {"dispatch", "pooled_idle_ms", 1, hourMs},
+    {"dispatch", "hedge_percent", 0, 20},
     {"", "workers", 1, 256},
     {"", "address_ttl_ms", 100, hourMs},
     {"", "address_count", 1, 16},
--- a/packages/base/include/pollenspoke/base.h
+++ b/packages/base/include/pollenspoke/base.h
@@ -6,7 +6,7 @@
 /// - [2] Time                (TimePoint, Clock, SteadyClock, ManualClock)
 /// - [3] Errors              (ErrorCode, Error, Result)
 /// - [4] Addresses           (Address, parseAddress(), parseHttpUrl())
-/// - [5] Refusals, retries   (RunState, RefusalReason, RetryReason)
+/// - [5] Refusals, retries   (RunState, RefusalReason, RetryReason, HedgeHoldback)
 /// - [6] Numbered events     (Event, eventName())
 /// - [7] Hashing and random  (sha256Hex(), stableHash(), randomHex())
 /// - [8] Store positions     (StorePosition)
@@ -202,6 +202,23 @@
 
 std::string_view retryReasonName(RetryReason reason);
 
+/// Why a slow request wasn't sent to a second target.
+enum class HedgeHoldback {
+    LimitReached, // of the operators, as a share of the service's requests
+    RetryBudget,  // less than half of it would be left to failures
+    NoCapacity,   // something waits for the service, or too few of its slots are free
+    ServiceSlow,  // a large share of its requests is slow
+    NoTarget,     // no other one is fit for a hedge and has a free slot
+    Attempts,     // the route allows no further target
+    Answering,    // bytes of a response had arrived meanwhile
+    Stopping,     // planned stop of this Vm
+    Withdrawn,    // the configuration in force doesn't allow it, or the target doesn't accept requests any more
+    Unreachable,  // the second target
+};
+inline constexpr std::size_t hedgeHoldbackCount = static_cast<std::size_t>(HedgeHoldback::Unreachable) + 1;
+
+std::string_view hedgeHoldbackName(HedgeHoldback reason);
+
 //-----------------------------------------------------------------------------
 // [6] Numbered events
 //-----------------------------------------------------------------------------
@@ -234,6 +251,7 @@
     FailurePassedOn         = 3006, // a target's error response was forwarded to the caller
     RequestAborted          = 3007, // a planned stop ended before the request; with its id and how far it had got
     AttemptOverdue          = 3008, // an attempt took longer than it should; what came of sending the request once more
+    HedgeSent               = 3009, // a slow request was sent to a second target as well; with the outcome
     TargetEjected           = 4001, // taken out of rotation; logged with the evidence
     TargetReturned          = 4002, // back in rotation; logged with the evidence
     FloorReached            = 4003, // an ejection was suppressed: too few targets would remain in rotation
--- a/packages/base/src/events.cpp
+++ b/packages/base/src/events.cpp
@@ -39,6 +39,7 @@
     EventRow{Event::FailurePassedOn, "failure_passed_on"},
     EventRow{Event::RequestAborted, "request_aborted"},
     EventRow{Event::AttemptOverdue, "attempt_overdue"},
+    EventRow{Event::HedgeSent, "hedge_sent"},
     EventRow{Event::TargetEjected, "target_ejected"},
     EventRow{Event::TargetReturned, "target_returned"},
     EventRow{Event::FloorReached, "floor_reached"},
--- a/packages/base/src/reasons.cpp
+++ b/packages/base/src/reasons.cpp
@@ -90,4 +90,31 @@
     return "unnamed";
 }
 
+std::string_view hedgeHoldbackName(HedgeHoldback reason)
+{
+    switch (reason) {
+    case HedgeHoldback::LimitReached:
+        return "limit_reached";
+    case HedgeHoldback::RetryBudget:
+        return "retry_budget";
+    case HedgeHoldback::NoCapacity:
+        return "no_capacity";
+    case HedgeHoldback::ServiceSlow:
+        return "service_slow";
+    case HedgeHoldback::NoTarget:
+        return "no_target";
+    case HedgeHoldback::Attempts:
+        return "attempts";
+    case HedgeHoldback::Answering:
+        return "answering";
+    case HedgeHoldback::Stopping:
+        return "stopping";
+    case HedgeHoldback::Withdrawn:
+        return "withdrawn";
+    case HedgeHoldback::Unreachable:
+        return "unreachable";
+    }
+    return "unnamed";
+}
+
 } // namespace Pollenspoke
--- a/packages/policy/include/pollenspoke/policy.h
+++ b/packages/policy/include/pollenspoke/policy.h
@@ -18,6 +18,7 @@
 /// - [12] Target roster            (RegistrationNumber, RosterEntry, TargetDeparture, TargetRoster)
 /// - [13] Planned stop             (StopSchedule, PlannedStop)
 /// - [14] Callers by capacity      (VmCapacity, selectByCapacity())
+/// - [15] Hedged requests          (HedgeOptions, HedgeConditions, LatencyQuantile, HedgePolicy)
 ///
 /// Example:
 /// @code
@@ -810,6 +811,7 @@
     void setUnknown(bool isUnknown, TimePoint now);     // true: a registration that states a warm-up may be missing
     void noteAnswer(Duration warmup, TimePoint now);    // remaining time by an answer; doesn't shorten what is known
 
+    bool isCold(TimePoint now) const; // as far as is known, whether the service has a limit or not
     bool isLimited(TimePoint now) const;
     double rate() const { return m_bucket ? m_bucket->limits().ratePerSecond : 0; }
     Duration waitForToken(TimePoint now) const; // one hour if there will be none
@@ -892,6 +894,9 @@
 
     /// Selects a target and counts the request as in flight there. Returns nothing if no target has a free slot.
     std::optional<Target> choose(const ChoiceRequest &request, TimePoint now, Generator &generator);
+    /// The same for a hedge: only an untried target with a free slot that nothing speaks against. It may not be warming up, limited,
+    /// half-open or just returned, and no Vm reports anything of it.
+    std::optional<Target> chooseForHedge(const ChoiceRequest &request, TimePoint now, Generator &generator);
     /// Records the end of an attempt that choose() began at `startedAt`; returns the pause that it caused, if any. Latencies are
     /// compared within the same `route` only, since the routes differ in cost.
     std::optional<TargetPause>
@@ -1010,6 +1015,8 @@
     void noteLatency(Member &member, Duration latency, const RouteName &route);
     std::vector<Member *> candidates(const ChoiceRequest &request, TimePoint now, const Floors &floors, bool includesAvoided);
     std::uint32_t sumSlots(TimePoint now, bool includesOccupied) const;
+    bool isFitForHedge(const Member &member, const ChoiceRequest &request, TimePoint now) const;
+    Member &choose(std::vector<Member *> eligible, const ChoiceRequest &request, TimePoint now, Generator &generator) const;
     Member &pick(const std::vector<Member *> &eligible, const ChoiceRequest &request, TimePoint now, Generator &generator) const;
     Duration startPause(Member &member, AttemptEnd cause, TimePoint now);
     void noteAnswer(Member &member, TimePoint startedAt, TimePoint now);
@@ -1053,6 +1060,7 @@
     void setShare(double share);           // of the reserve that this Vm may use, 0 to 1
     void noteRequest(TimePoint now);       // counts an original request
     bool takeRetry(TimePoint now);         // false: budget exhausted
+    bool mayHedge(TimePoint now);          // whether half of the budget is left to failures after one more retry
     double available(TimePoint now) const; // retries currently allowed
 
 private:
@@ -1065,6 +1073,7 @@
     };
 
     void advance(TimePoint now);
+    double allowance(TimePoint now) const; // of the window, with what was used of it
 
     RetryBudgetOptions m_options;
     double m_share = 1;
@@ -1467,4 +1476,88 @@
 /// largest processor, link, memory and number of descriptors among them; what is unknown counts as the largest.
 std::vector<VmName> selectByCapacity(const std::vector<VmCapacity> &vms);
 
+//-----------------------------------------------------------------------------
+// [15] Hedged requests
+//-----------------------------------------------------------------------------
+// A request whose first attempt is slower than almost all of its route is sent to a second target, and the first whole answer counts.
+//
+// - The limit is a percentage of the service's requests. Each Vm earns its part with its own requests and starts with nothing, so that
+//   the sum over the fleet stays within the limit without messages, and a restart only loses what was earned.
+// - A hedge is an arrival beyond the first one, so it takes a token of the retry budget as well, and only while half of the budget is left
+//   to failures.
+// - Hedges help against single slow targets. When many requests of the service are slow at the same time, another copy adds load to
+//   what is overloaded. So none is sent without free slots, nor for a time after a large share of the attempts reached their delay.
+
+struct HedgeOptions
+{
+    std::uint32_t percent = 0;          // hedges per 100 requests of the service, 0 to 20; 0: off
+    double quantile = 0.95;             // of the route's latencies, after which an attempt counts as slow
+    std::uint32_t minObservations = 50; // below, the quantile isn't known: it would rest on fewer than three slow attempts
+    std::uint32_t memory = 200;         // observations after which the weight of all earlier ones is halved
+    std::uint32_t savedHedges = 2;      // that a Vm can save up, at least 1; a calm time isn't made up for by a burst
+    double freeShare = 0.25;            // of the usable slots; no hedge while fewer are free
+    double slowShare = 0.25;            // of the attempts that reached their delay; above it the service as a whole is slow, 0.05 is usual
+    double minJudged = 10;              // attempts below which that share says nothing
+    Duration slowHalfLife = std::chrono::seconds(2); // of the counts for that share
+    Duration slowTime = std::chrono::seconds(5);     // without hedges after that; the quantile follows meanwhile
+    auto operator<=>(const HedgeOptions &) const = default;
+};
+
+/// State of a service when a hedge is considered.
+struct HedgeConditions
+{
+    std::size_t waiting = 0; // requests that wait for a target
+    std::uint32_t freeSlots = 0;
+    std::uint32_t usableSlots = 0; // with the occupied ones
+    auto operator<=>(const HedgeConditions &) const = default;
+};
+
+/// Estimate of a latency quantile: a histogram of fixed size in which older observations weigh less.
+class LatencyQuantile
+{
+public:
+    void record(Duration latency, std::uint32_t memory); // `memory`: see HedgeOptions
+    double total() const { return m_total; }             // weight of all observations
+    Duration quantile(double fraction) const;            // upper bound of the bin that contains it, at most 12 % too long
+
+private:
+    static constexpr std::size_t binCount = 100; // 1 ms to 100 s
+
+    std::array<double, binCount> m_bins{};
+    double m_total = 0;
+    std::uint32_t m_sinceHalving = 0;
+};
+
+/// One Vm's hedging of one service. In any interval its hedges are at most `percent` of its requests of that interval plus `savedHedges`;
+/// since its start they are at most `percent` of its requests.
+class HedgePolicy
+{
+public:
+    explicit HedgePolicy(HedgeOptions options = {});
+
+    bool isEnabled() const { return m_options.percent != 0; }
+    void noteRequest();                                          // counts an original request of the service
+    std::optional<Duration> delay(const RouteName &route) const; // after which an attempt counts as slow; empty: off, or not known yet
+
+    /// Records how long a first attempt took. For one that was cancelled as its hedge answered: the time until then, so that
+    /// cancelling slow attempts doesn't shorten the delay.
+    void noteLatency(const RouteName &route, Duration latency, TimePoint now);
+    void noteDue(TimePoint now); // a first attempt has reached its delay without an answer
+
+    /// Whether a hedge may be sent now; otherwise why not.
+    std::optional<HedgeHoldback> check(const HedgeConditions &conditions, RetryBudget &budget, TimePoint now) const;
+    std::optional<HedgeHoldback> take(const HedgeConditions &conditions, RetryBudget &budget, TimePoint now); // also charges both limits
+
+private:
+    void judge(bool isDue, TimePoint now);
+
+    HedgeOptions m_options;
+    std::map<RouteName, LatencyQuantile> m_routes;
+    std::uint32_t m_credit = 0; // of hedges, in hundredths: a request earns `percent`
+    double m_judged = 0;        // decayed count of first attempts that were answered in time or reached their delay
+    double m_due = 0;           // those that reached it
+    TimePoint m_judgedAt;
+    TimePoint m_slowUntil; // the service as a whole is slow
+};
+
 } // namespace Pollenspoke
--- a/packages/policy/src/balancer.cpp
+++ b/packages/policy/src/balancer.cpp
@@ -530,7 +530,8 @@
         return halfOpenSlots;
     }
     const bool isReturning = member.returnedAt != TimePoint() && now - member.returnedAt < m_options.returnTime;
-    if (isReturning && !isOverloaded(now) && (!member.requestStarts.empty() || returnRank(member.target.name, m_sharers) >= member.target.slots)) {
+    if (isReturning && !isOverloaded(now)
+        && (!member.requestStarts.empty() || returnRank(member.target.name, m_sharers) >= member.target.slots)) {
         return 0;
     }
     return member.target.slots + request.overcommit;
@@ -606,15 +607,48 @@
     if (eligible.empty()) {
         return std::nullopt;
     }
-    // Considers all targets of the local failure domain and a few random ones of the others.
+    Member &chosen = choose(std::move(eligible), request, now, generator);
+    chosen.requestStarts.push_back(now);
+    return chosen.target;
+}
+
+bool ServiceBalancer::isFitForHedge(const Member &member, const ChoiceRequest &request, TimePoint now) const
+{
+    const Announced *announced = findAnnounced(member);
+    const bool isLimited = announced != nullptr && announced->limit.limit();
+    const bool isReturning = member.returnedAt != TimePoint() && now - member.returnedAt < m_options.returnTime;
+    const bool isTried = std::find(request.tried.begin(), request.tried.end(), member.target.name) != request.tried.end();
+    return isOpen(member, now) && !isTried && !isLimited && !hasFailed(member) && !member.isHalfOpen && !isReturning
+        && pausedUntil(member, now) <= now && avoidedUntil(member, request, now) <= now && !member.warmup.isCold(now)
+        && !isPossiblyStuck(member, now) && hasCapacity(member, request, now);
+}
+
+std::optional<Target> ServiceBalancer::chooseForHedge(const ChoiceRequest &request, TimePoint now, Generator &generator)
+{
+    std::vector<Member *> eligible;
+    for (Member &it : m_members) {
+        if (isFitForHedge(it, request, now)) {
+            eligible.push_back(&it);
+        }
+    }
+    if (eligible.empty()) {
+        return std::nullopt;
+    }
+    Member &chosen = choose(std::move(eligible), request, now, generator);
+    chosen.requestStarts.push_back(now);
+    return chosen.target;
+}
+
+// Considers all targets of the local failure domain and a few random ones of the others.
+ServiceBalancer::Member &
+ServiceBalancer::choose(std::vector<Member *> eligible, const ChoiceRequest &request, TimePoint now, Generator &generator) const
+{
     const auto firstDistant = std::partition(
         eligible.begin(), eligible.end(), [&request](const Member *it) { return it->target.failureDomain == request.local; });
     const auto distant = static_cast<std::size_t>(eligible.end() - firstDistant);
     std::shuffle(firstDistant, eligible.end(), generator);
     eligible.resize(eligible.size() - distant + std::min<std::size_t>(distant, m_options.crossDomainCandidates));
-    Member &chosen = pick(eligible, request, now, generator);
-    chosen.requestStarts.push_back(now);
-    return chosen.target;
+    return pick(eligible, request, now, generator);
 }
 
 // Picks the best score after random jitter, so that no healthy target stays idle for long; the jitter is larger under overload.
--- a/packages/policy/src/retry_budget.cpp
+++ b/packages/policy/src/retry_budget.cpp
@@ -12,6 +12,8 @@
 constexpr double steadyReserveShare = 0.65; // after a process has run for one window
 constexpr double startupReserveShare = 0.3; // before that
 
+constexpr double shareForFailures = 0.5; // of the allowance; hedges use only what is above it
+
 } // namespace
 
 RetryBudget::RetryBudget(RetryBudgetOptions options)
@@ -48,17 +50,30 @@
     ++m_steps[m_newest].requests;
 }
 
-double RetryBudget::available(TimePoint now) const
+double RetryBudget::allowance(TimePoint now) const
 {
     double requests = 0;
-    double retries = 0;
     for (const Step &it : m_steps) {
         requests += it.requests;
-        retries += it.retries;
     }
     const bool isNew = !m_startedAt || now - *m_startedAt < m_options.window;
     const double reserve = m_options.reserve * m_share * (isNew ? startupReserveShare : steadyReserveShare);
-    return requests * m_options.ratio * ratioMargin + reserve - retries;
+    return requests * m_options.ratio * ratioMargin + reserve;
+}
+
+double RetryBudget::available(TimePoint now) const
+{
+    double retries = 0;
+    for (const Step &it : m_steps) {
+        retries += it.retries;
+    }
+    return allowance(now) - retries;
+}
+
+bool RetryBudget::mayHedge(TimePoint now)
+{
+    advance(now);
+    return available(now) - 1 >= allowance(now) * shareForFailures;
 }
 
 bool RetryBudget::takeRetry(TimePoint now)
--- a/packages/policy/src/warmup_limit.cpp
+++ b/packages/policy/src/warmup_limit.cpp
@@ -33,9 +33,14 @@
     return {.ratePerSecond = part, .burst = std::min(1 + part * seconds, bursts / static_cast<double>(homes))};
 }
 
+bool WarmupLimit::isCold(TimePoint now) const
+{
+    return m_isUnknown || now < std::max(m_registeredUntil, m_answeredUntil);
+}
+
 bool WarmupLimit::isLimited(TimePoint now) const
 {
-    return m_bucket && (m_isUnknown || now < std::max(m_registeredUntil, m_answeredUntil));
+    return m_bucket && isCold(now);
 }
 
 // Requests that were sent while the target counted as warm took no tokens, so none may be saved up from that time.
--- a/packages/proxy/include/pollenspoke/proxy.h
+++ b/packages/proxy/include/pollenspoke/proxy.h
@@ -84,6 +84,7 @@
     std::uint32_t shortestPatienceMs = 250;          // lower bound of that limit
     RetryBudgetOptions retryBudget{.reserve = 1000}; // per service
     BalancerOptions balancer;
+    HedgeOptions hedge; // per service
 };
 
 struct ProxyOptions
--- a/packages/proxy/src/dispatcher.cpp
+++ b/packages/proxy/src/dispatcher.cpp
@@ -14,7 +14,8 @@
 using namespace net::experimental::awaitable_operators;
 using std::chrono::milliseconds;
 
-constexpr std::uint32_t maxConnectFailures = 3; // per request; not counted as attempts, since no target received any byte
+constexpr auto hedgePollInterval = milliseconds(20); // at which a slow attempt notices that its hedge has failed
+constexpr std::uint32_t maxConnectFailures = 3;      // per request; not counted as attempts, since no target received any byte
 
 bool carriesSecret(const http::fields::value_type &field, const std::string &secret)
 {
@@ -230,7 +231,7 @@
         const Duration elapsed = m_dependencies.clock.now() - startedAt;
         trace.timeAtTargets += elapsed;
         if (const auto *failure = std::get_if<AttemptFailure>(&result)) {
-            logFailure(request, progress, *failure, elapsed);
+            logFailure(request, progress.id, progress, *failure, elapsed);
             recordFailure(*failure, progress);
             continue;
         }
@@ -256,12 +257,13 @@
     co_return makeFinalRefusal(request, trace, progress);
 }
 
-void Dispatcher::logFailure(const DispatchRequest &request, const Progress &progress, const AttemptFailure &failure, Duration elapsed)
+void Dispatcher::logFailure(
+    const DispatchRequest &request, const TargetId &id, const Progress &progress, const AttemptFailure &failure, Duration elapsed)
 {
     logRequestEvent(Event::AttemptFailed,
                     {{"request_id", request.requestId},
-                     {"service", progress.id.service.value},
-                     {"target", progress.id.target.value},
+                     {"service", id.service.value},
+                     {"target", id.target.value},
                      {"reason", std::string(retryReasonName(failure.reason))},
                      {"may_have_run", failure.mayHaveRun ? "yes" : "no"},
                      {"attempt", std::to_string(progress.plan.attempt)},
@@ -487,7 +489,7 @@
     m_dependencies.metrics.count(Counter::Dispatches);
     AttemptResult result = co_await awaitResponse(request, attempt, connection, outgoing, progress, trace, reply);
     if (const auto *failure = std::get_if<AttemptFailure>(&result)) {
-        trace.mayHaveRun = failure->mayHaveRun || mayHaveRunBefore;
+        trace.mayHaveRun = failure->mayHaveRun || mayHaveRunBefore || progress.mayHaveRun; // the latter in a race of two attempts
     }
     co_return result;
 }
@@ -500,43 +502,371 @@
                                                                     DispatchTrace &trace,
                                                                     ReplyWriter &reply)
 {
+    Attempt own = attempt;
+    own.isFirst = progress.sendCount == 1 && progress.plan.isIdempotent && m_options.dispatch.hedge.percent != 0;
+    const auto hedgeDelay
+        = own.isFirst ? m_targets.hedgeDelay(request.resolved.serviceName, request.resolved.routeName) : std::optional<Duration>();
+    if (hedgeDelay && outgoing.sentAt + *hedgeDelay < std::min(attempt.patienceEndsAt, request.deadline)) {
+        co_return co_await raceHedge(request, own, connection, outgoing, *hedgeDelay, progress, trace, reply);
+    }
+    AttemptResult result = co_await awaitFirst(request, own, connection, outgoing, progress, trace, reply);
+    const bool isCancelled = (co_await net::this_coro::cancellation_state).cancelled() != net::cancellation_type::none;
+    finishAttempt(request, own, connection, outgoing.sentAt, result, isCancelled);
+    co_return result;
+}
+
+net::awaitable<Dispatcher::AttemptResult> Dispatcher::awaitFirst(const DispatchRequest &request,
+                                                                 const Attempt &attempt,
+                                                                 TargetConnection &connection,
+                                                                 OutgoingRequest &outgoing,
+                                                                 Progress &progress,
+                                                                 DispatchTrace &trace,
+                                                                 ReplyWriter &reply)
+{
+    if (attempt.patienceEndsAt >= request.deadline) {
+        co_return co_await receiveWhileSending(request, attempt, connection, outgoing, progress, reply);
+    }
     std::optional<AttemptResult> received;
+    const auto receiveInto = [&]() -> net::awaitable<void> {
+        received = co_await receiveWhileSending(request, attempt, connection, outgoing, progress, reply);
+    };
+    co_await (receiveInto() || waitForReplacement(request, attempt, connection, progress, trace, reply));
+    const bool isAnswered = received && !std::holds_alternative<AttemptFailure>(*received);
+    if (progress.replacement && isAnswered) {
+        progress.replacement.reset(); // both in the same moment
+    } else if (progress.replacement) {
+        received = makeFailure(ReceiveError::Timeout, attempt, connection);
+    }
+    co_return received ? std::move(*received) : makeFailure(ReceiveError::ConnectionClosed, attempt, connection);
+}
+
+net::awaitable<Dispatcher::AttemptResult> Dispatcher::receiveWhileSending(const DispatchRequest &request,
+                                                                          const Attempt &attempt,
+                                                                          TargetConnection &connection,
+                                                                          OutgoingRequest &outgoing,
+                                                                          Progress &progress,
+                                                                          ReplyWriter &reply)
+{
+    if (connection.hasSentAll()) {
+        co_return co_await receive(request, attempt, connection, progress, reply);
+    }
     // Assigned through a reference, since operator|| would flatten the nested variants.
-    const auto receiveInto = [&](std::optional<AttemptResult> &destination) -> net::awaitable<void> {
-        if (connection.hasSentAll()) {
-            destination = co_await receive(request, attempt, connection, progress, reply);
-        } else {
-            const auto receiveOnly
-                = [&]() -> net::awaitable<void> { destination = co_await receive(request, attempt, connection, progress, reply); };
-            co_await (receiveOnly() || connection.sendRemaining(outgoing.serializer, request.deadline));
+    std::optional<AttemptResult> received;
+    const auto receiveInto = [&]() -> net::awaitable<void> { received = co_await receive(request, attempt, connection, progress, reply); };
+    co_await (receiveInto() || connection.sendRemaining(outgoing.serializer, request.deadline));
+    co_return received ? std::move(*received) : makeFailure(ReceiveError::ConnectionClosed, attempt, connection);
+}
+
+// Releases the slot and the connection of an attempt that has an answer.
+void Dispatcher::finishAttempt(const DispatchRequest &request,
+                               const Attempt &attempt,
+                               TargetConnection &connection,
+                               TimePoint sentAt,
+                               const AttemptResult &result,
+                               bool isCancelled)
+{
+    if (std::holds_alternative<AttemptFailure>(result)) {
+        return;
+    }
+    const Duration latency = m_dependencies.clock.now() - sentAt;
+    const bool isServerError = connection.header().result_int() >= firstServerErrorStatus;
+    m_dependencies.metrics.recordTiming(Timing::Target, latency);
+    AttemptEnd end = isServerError || !connection.isComplete() ? AttemptEnd::Failed : AttemptEnd::Answered;
+    const auto *streamed = std::get_if<StreamedResponse>(&result);
+    if (!isServerError && !connection.isComplete() && (isCancelled || (streamed != nullptr && streamed->hasCallerLeft))) {
+        end = AttemptEnd::Abandoned; // the target wasn't the one that stopped
+    }
+    if (attempt.isFirst && end == AttemptEnd::Answered && streamed == nullptr) { // the time of a streamed answer is the caller's
+        m_targets.noteHedgeLatency(request.resolved.serviceName, request.resolved.routeName, latency);
+    }
+    returnToPool(request, attempt, connection, end, latency);
+    attempt.reservation.finish(end, latency);
+}
+
+// Runs the first attempt and, once it is slower than almost all of its route, another one at a second target. Ends with the first whole
+// answer, which is also the only one that is passed on; whoever destroys or closes the other connection cancels that attempt. An attempt
+// that fails leaves the other one running.
+net::awaitable<Dispatcher::AttemptResult> Dispatcher::raceHedge(const DispatchRequest &request,
+                                                                const Attempt &attempt,
+                                                                TargetConnection &connection,
+                                                                OutgoingRequest &outgoing,
+                                                                Duration hedgeDelay,
+                                                                Progress &progress,
+                                                                DispatchTrace &trace,
+                                                                ReplyWriter &reply)
+{
+    const auto executor = co_await net::this_coro::executor;
+    const auto isCancelled = [](const net::cancellation_state &it) { return it.cancelled() != net::cancellation_type::none; };
+    const auto isAnswer = [](const AttemptResult &result) {
+        const auto *response = std::get_if<BufferedResponse>(&result);
+        return std::holds_alternative<StreamedResponse>(result)
+            || (response != nullptr && response->header.result_int() < firstServerErrorStatus);
+    };
+    HedgeRace race;
+    race.first = &connection;
+    Attempt first = attempt;
+    first.race = &race;
+    const auto waitUntilCancelled = [&executor]() -> net::awaitable<void> {
+        net::steady_timer timer(executor, net::steady_timer::time_point::max());
+        co_await timer.async_wait(asTuple);
+    };
+    const auto runFirst = [&]() -> net::awaitable<void> {
+        AttemptResult result = co_await awaitFirst(request, first, connection, outgoing, progress, trace, reply);
+        if (isCancelled(co_await net::this_coro::cancellation_state)) {
+            co_return;
+        }
+        if (!race.isLost(false) && (isAnswer(result) || !race.isContested())) {
+            race.winner = false;
+            race.firstResult = std::move(result);
+            co_return;
+        }
+        if (!race.isLost(false)) {
+            race.hasFirstFailed = true;
+            settleFailure(request, first, connection, outgoing.sentAt, std::move(result), progress);
         }
+        co_await waitUntilCancelled();
     };
-    if (attempt.patienceEndsAt < request.deadline) {
-        co_await (receiveInto(received) || waitForReplacement(request, attempt, connection, progress, trace, reply));
-        const bool isAnswered = received && !std::holds_alternative<AttemptFailure>(*received);
-        if (progress.replacement && isAnswered) {
-            progress.replacement.reset(); // both in the same moment
-        } else if (progress.replacement) {
-            received = makeFailure(ReceiveError::Timeout, attempt, connection);
+    const auto runHedge = [&]() -> net::awaitable<void> {
+        net::steady_timer timer(executor);
+        timer.expires_after(outgoing.sentAt + hedgeDelay - m_dependencies.clock.now());
+        if (const auto [ec] = co_await timer.async_wait(asTuple); ec) {
+            co_return;
+        }
+        m_targets.noteHedgeDue(request.resolved.serviceName);
+        race.phase = HedgeRace::Phase::Connecting;
+        const std::optional<HedgeHoldback> heldBack = co_await sendHedge(request, first, race, progress, reply);
+        if (isCancelled(co_await net::this_coro::cancellation_state)) {
+            co_return;
+        }
+        if (heldBack) {
+            race.phase = HedgeRace::Phase::Idle;
+            m_dependencies.metrics.countHedgeHeldBack(*heldBack);
+            co_await waitUntilCancelled();
+            co_return;
+        }
+        const Attempt hedge{.id = race.hedge->id,
+                            .reservation = *race.hedge->reservation,
+                            .startedAt = race.hedge->startedAt,
+                            .patienceEndsAt = request.deadline,
+                            .isHedge = true,
+                            .race = &race};
+        TargetConnection &hedgeConnection = *race.hedge->connection;
+        OutgoingRequest &hedgeOutgoing = *race.hedge->outgoing;
+        AttemptResult result = co_await receiveWhileSending(request, hedge, hedgeConnection, hedgeOutgoing, progress, reply);
+        if (isCancelled(co_await net::this_coro::cancellation_state)) {
+            co_return;
         }
+        if (!race.isLost(true) && (isAnswer(result) || race.hasFirstFailed)) {
+            race.winner = true;
+            race.hedgeResult = std::move(result);
+            co_return;
+        }
+        if (!race.isLost(true)) {
+            race.phase = HedgeRace::Phase::Idle;
+            settleFailure(request, hedge, hedgeConnection, hedgeOutgoing.sentAt, std::move(result), progress);
+            noteHedgeEnd(request, first, *race.hedge, "failed");
+        }
+        co_await waitUntilCancelled();
+    };
+    try {
+        co_await (runFirst() || runHedge());
+    } catch (...) {
+        if (race.phase == HedgeRace::Phase::Running) {
+            noteHedgeEnd(request, first, *race.hedge, "aborted");
+        }
+        throw;
+    }
+    const bool isStopped = isCancelled(co_await net::this_coro::cancellation_state);
+    co_return settleRace(request, first, connection, outgoing.sentAt, isStopped, progress);
+}
+
+// Result of the attempt that has decided the race; the request goes on as if there had been only this one.
+Dispatcher::AttemptResult Dispatcher::settleRace(const DispatchRequest &request,
+                                                 const Attempt &first,
+                                                 TargetConnection &connection,
+                                                 TimePoint sentAt,
+                                                 bool isCancelled,
+                                                 Progress &progress)
+{
+    HedgeRace &race = *first.race;
+    const bool isRunning = race.phase == HedgeRace::Phase::Running;
+    AttemptResult result = makeFailure(ReceiveError::ConnectionClosed, first, connection);
+    if (race.hedgeResult) {
+        const bool isAnswered = !std::holds_alternative<AttemptFailure>(*race.hedgeResult);
+        if (isAnswered && !race.hasFirstFailed) {
+            const Duration elapsed = m_dependencies.clock.now() - sentAt;
+            m_targets.noteHedgeLatency(request.resolved.serviceName, request.resolved.routeName, elapsed);
+        }
+        connection.close();
+        result = std::move(*race.hedgeResult);
+        progress.id = race.hedge->id;
+        progress.reservation = std::move(*race.hedge->reservation);
+        race.hedge->reservation.reset(); // that of the first attempt, which is abandoned unless it has failed
+        const Attempt hedge{.id = progress.id,
+                            .reservation = progress.reservation,
+                            .startedAt = race.hedge->startedAt,
+                            .patienceEndsAt = request.deadline,
+                            .isHedge = true};
+        finishAttempt(request, hedge, *race.hedge->connection, race.hedge->outgoing->sentAt, result, isCancelled);
+        noteHedgeEnd(request, first, *race.hedge, isAnswered ? "won" : "failed");
     } else {
-        co_await receiveInto(received);
-    }
-    AttemptResult result = received ? std::move(*received) : makeFailure(ReceiveError::ConnectionClosed, attempt, connection);
-    if (!std::holds_alternative<AttemptFailure>(result)) {
-        const Duration latency = m_dependencies.clock.now() - outgoing.sentAt;
-        const bool isServerError = connection.header().result_int() >= firstServerErrorStatus;
-        m_dependencies.metrics.recordTiming(Timing::Target, latency);
-        AttemptEnd end = isServerError || !connection.isComplete() ? AttemptEnd::Failed : AttemptEnd::Answered;
-        const auto *streamed = std::get_if<StreamedResponse>(&result);
-        const bool isCancelled = (co_await net::this_coro::cancellation_state).cancelled() != net::cancellation_type::none;
-        if (!isServerError && !connection.isComplete() && (isCancelled || (streamed != nullptr && streamed->hasCallerLeft))) {
-            end = AttemptEnd::Abandoned; // the target wasn't the one that stopped
-        }
-        returnToPool(request, attempt, connection, end, latency);
-        attempt.reservation.finish(end, latency);
+        if (isRunning) {
+            race.hedge->connection->close();
+            noteHedgeEnd(request, first, *race.hedge, race.firstResult ? "cancelled" : "aborted");
+        }
+        if (race.firstResult) {
+            result = std::move(*race.firstResult);
+            finishAttempt(request, first, connection, sentAt, result, isCancelled);
+        }
     }
-    co_return result;
+    const auto *failure = std::get_if<AttemptFailure>(&result);
+    if (failure != nullptr && race.errorResponse && !mayRetryAnswer(request, race.errorResponse->header, progress)) {
+        logFailure(request, progress.id, progress, *failure, m_dependencies.clock.now() - sentAt);
+        recordFailure(*failure, progress);
+        return std::move(*race.errorResponse);
+    }
+    return result;
+}
+
+// Records the failure of one of two attempts that were both running. The other one goes on.
+void Dispatcher::settleFailure(const DispatchRequest &request,
+                               const Attempt &attempt,
+                               TargetConnection &connection,
+                               TimePoint sentAt,
+                               AttemptResult result,
+                               Progress &progress)
+{
+    AttemptFailure failure{.reason = RetryReason::ServerError, .mayHaveRun = true};
+    if (auto *response = std::get_if<BufferedResponse>(&result)) {
+        finishAttempt(request, attempt, connection, sentAt, result, false);
+        attempt.race->errorResponse = std::move(*response);
+    } else if (const auto *other = std::get_if<AttemptFailure>(&result)) {
+        failure = *other;
+    }
+    logFailure(request, attempt.id, progress, failure, m_dependencies.clock.now() - attempt.startedAt);
+    connection.close();
+    if (!attempt.isHedge) {
+        recordFailure(failure, progress);
+        return;
+    }
+    attempt.reservation.finish(failure.end);
+    progress.tried.push_back(attempt.id.target);
+    if (failure.mayHaveRun) {
+        progress.ranAt.push_back(attempt.id.target);
+    }
+    if (failure.mayHaveRun || !progress.mayHaveRun) {
+        progress.reason = failure.reason;
+        progress.mayHaveRun = failure.mayHaveRun;
+    }
+    ++progress.plan.attempt;
+}
+
+// An answer that is passed on as it arrives can't be taken back, so its first part decides the race. False: the other attempt has.
+bool Dispatcher::claimRace(const Attempt &attempt)
+{
+    HedgeRace *race = attempt.race;
+    if (race == nullptr) {
+        return true;
+    }
+    if (race->isLost(attempt.isHedge)) {
+        return false;
+    }
+    race->winner = attempt.isHedge;
+    TargetConnection *other = attempt.isHedge ? race->first : race->hedge ? race->hedge->connection.get() : nullptr;
+    if (other != nullptr) {
+        other->close();
+    }
+    return true;
+}
+
+// Sends the request to a second target. All that may forbid it is checked, and charged, in one step after the connection is open.
+net::awaitable<std::optional<HedgeHoldback>>
+Dispatcher::sendHedge(const DispatchRequest &request, const Attempt &first, HedgeRace &race, Progress &progress, const ReplyWriter &reply)
+{
+    const auto findObstacle = [&]() -> std::optional<HedgeHoldback> {
+        if (m_stop.load()) {
+            return HedgeHoldback::Stopping;
+        }
+        if (race.winner || reply.hasStarted() || race.first->receivedBytes() != 0) {
+            return HedgeHoldback::Answering;
+        }
+        return progress.plan.attempt >= progress.plan.maxAttempts ? std::optional(HedgeHoldback::Attempts) : std::nullopt;
+    };
+    if (const std::optional<HedgeHoldback> obstacle = findObstacle()) {
+        co_return obstacle;
+    }
+    std::optional<ResolvedRequest> resolved = resolveReplacement(request);
+    if (!resolved || resolved->serviceName != first.id.service) {
+        co_return HedgeHoldback::Withdrawn;
+    }
+    Replacement hedge{.id = first.id, .startedAt = m_dependencies.clock.now()};
+    hedge.resolved = std::move(*resolved);
+    AcquireRequest acquireRequest{.service = hedge.resolved.serviceName,
+                                  .route = hedge.resolved.routeName,
+                                  .tried = progress.tried,
+                                  .limit = connectionLimit(*hedge.resolved.service)};
+    acquireRequest.tried.push_back(first.id.target);
+    TargetReservation reservation;
+    const tl::expected<Target, HedgeHoldback> target = m_targets.acquireForHedge(acquireRequest, reservation);
+    if (!target) {
+        co_return target.error();
+    }
+    hedge.id = {hedge.resolved.serviceName, target->name, target->address, target->incarnation};
+    hedge.reservation = std::move(reservation);
+    hedge.connection = std::make_unique<TargetConnection>(co_await net::this_coro::executor, connectionOptions());
+    closeExcess(hedge.resolved, hedge.id);
+    const TimePoint connectUntil
+        = hedge.startedAt + std::min<Duration>(milliseconds(m_options.dispatch.connectTimeoutMs), request.deadline - hedge.startedAt);
+    const SystemError ec = co_await hedge.connection->connect(hedge.id.address, connectUntil);
+    if ((co_await net::this_coro::cancellation_state).cancelled() != net::cancellation_type::none) {
+        co_return HedgeHoldback::Answering;
+    }
+    if (ec) {
+        hedge.reservation->finish(AttemptEnd::Unreachable);
+        progress.tried.push_back(hedge.id.target);
+        co_return HedgeHoldback::Unreachable;
+    }
+    m_dependencies.metrics.count(Counter::ConnectionsOpened);
+    // From here on nothing is awaited until the first bytes are written.
+    if (const std::optional<HedgeHoldback> obstacle = findObstacle()) {
+        co_return obstacle;
+    }
+    if (!mayBeSent(request, hedge, first, progress) || !m_targets.admit(hedge.id)) {
+        co_return HedgeHoldback::Withdrawn;
+    }
+    if (const std::optional<HedgeHoldback> heldBack = m_targets.takeHedge(hedge.id.service)) {
+        m_targets.returnToken(hedge.id);
+        co_return heldBack;
+    }
+    hedge.outgoing = std::make_unique<OutgoingRequest>(request, hedge.id.target, m_options.wire, m_dependencies.clock.now());
+    race.hedge = std::move(hedge);
+    race.phase = HedgeRace::Phase::Running;
+    ++progress.sendCount;
+    m_dependencies.metrics.count(Counter::Dispatches);
+    m_dependencies.metrics.count(Counter::HedgesSent);
+    co_await race.hedge->connection->beginSend(race.hedge->outgoing->serializer, request.deadline);
+    co_return std::nullopt;
+}
+
+void Dispatcher::noteHedgeEnd(const DispatchRequest &request,
+                              const Attempt &first,
+                              const Replacement &hedge,
+                              std::string_view outcome) const
+{
+    const TimePoint now = m_dependencies.clock.now();
+    if (outcome == "won") {
+        m_dependencies.metrics.count(Counter::HedgesWon);
+    } else if (outcome != "failed") {
+        m_dependencies.metrics.count(Counter::HedgesCancelled);
+    }
+    logRequestEvent(Event::HedgeSent,
+                    {{"request_id", request.requestId},
+                     {"service", first.id.service.value},
+                     {"target", first.id.target.value},
+                     {"after_ms", std::to_string(std::chrono::duration_cast<milliseconds>(hedge.startedAt - first.startedAt).count())},
+                     {"next_target", hedge.id.target.value},
+                     {"took_ms", std::to_string(std::chrono::duration_cast<milliseconds>(now - hedge.startedAt).count())},
+                     {"outcome", std::string(outcome)}});
 }
 
 // Returns once the attempt has been too slow and another one was sent, which is then the replacement. Until then the target may still
@@ -551,6 +881,13 @@
     if (!co_await waitUntilOverdue(attempt, connection)) {
         co_return; // the attempt has ended
     }
+    net::steady_timer hedgeTimer(co_await net::this_coro::executor);
+    while (attempt.race != nullptr && attempt.race->phase != HedgeRace::Phase::Idle) { // the second attempt is under way already
+        hedgeTimer.expires_after(hedgePollInterval);
+        if (const auto [ec] = co_await hedgeTimer.async_wait(asTuple); ec) {
+            co_return;
+        }
+    }
     const std::uint64_t receivedBytes = connection.receivedBytes();
     const bool isSilent = attempt.isPooled && receivedBytes == 0;
     if (isSilent) {
@@ -783,15 +1120,24 @@
                  LogLevel::Warning);
         return AttemptFailure{.reason = RetryReason::AnswerMismatched, .mayHaveRun = true};
     }
-    const bool isLast = progress.plan.attempt >= progress.plan.maxAttempts;
-    if (request.resolved.isIdempotent && !isLast && isRetriedStatus(header.result_int(), m_options.wire)
-        && m_targets.hasOpenTarget(request.resolved.serviceName)
-        && reserveRetry(request.resolved.serviceName, request.deadline, progress)) {
+    const bool isServerError = header.result_int() >= firstServerErrorStatus;
+    if (isServerError && attempt.race != nullptr && attempt.race->isContested()) {
+        return std::nullopt; // kept for the case that the other attempt has no answer
+    }
+    if (mayRetryAnswer(request, header, progress)) {
         return AttemptFailure{.reason = RetryReason::ServerError, .mayHaveRun = true};
     }
     return std::nullopt;
 }
 
+// Whether the request is sent again because of the status of its answer; the retry is then charged.
+bool Dispatcher::mayRetryAnswer(const DispatchRequest &request, const http::response_header<> &header, Progress &progress)
+{
+    const bool isLast = progress.plan.attempt >= progress.plan.maxAttempts;
+    return request.resolved.isIdempotent && !isLast && isRetriedStatus(header.result_int(), m_options.wire)
+        && m_targets.hasOpenTarget(request.resolved.serviceName) && reserveRetry(request.resolved.serviceName, request.deadline, progress);
+}
+
 net::awaitable<Dispatcher::AttemptResult>
 Dispatcher::receiveBody(const DispatchRequest &request, const Attempt &attempt, TargetConnection &connection, ReplyWriter &reply)
 {
@@ -809,6 +1155,11 @@
         }
         hasRoom = lease.coverUpTo(body.size());
     }
+    const bool isServerError = connection.header().result_int() >= firstServerErrorStatus;
+    const bool isContested = attempt.race != nullptr && attempt.race->isContested();
+    if (!connection.isComplete() && ((isServerError && isContested) || !claimRace(attempt))) {
+        co_return AttemptFailure{.reason = RetryReason::ServerError, .mayHaveRun = true};
+    }
     if (!connection.isComplete()) {
         co_return co_await streamBody(request, connection, std::move(body), reply);
     }
--- a/packages/proxy/src/dispatcher.h
+++ b/packages/proxy/src/dispatcher.h
@@ -82,6 +82,8 @@
     };
     using AttemptResult = std::variant<BufferedResponse, StreamedResponse, AttemptFailure>;
 
+    struct HedgeRace;
+
     struct Attempt
     {
         TargetId id;
@@ -89,6 +91,9 @@
         TimePoint startedAt;
         TimePoint patienceEndsAt; // then it is given up, once another attempt was sent
         bool isPooled = false;
+        bool isFirst = false;      // of the request; its latency counts for the route's quantile
+        bool isHedge = false;      // the second one of a race
+        HedgeRace *race = nullptr; // with another attempt of the same request; null: none is possible
     };
 
     // A request on its way to a target.
@@ -112,6 +117,28 @@
         std::unique_ptr<OutgoingRequest> outgoing;
     };
 
+    // A first attempt and its hedge, which run until one of them has a whole answer.
+    struct HedgeRace
+    {
+        enum class Phase {
+            Idle,       // no hedge was sent yet, or it has failed
+            Connecting, // a hedge may be sent any moment
+            Running,    // it was sent
+        };
+
+        bool isContested() const { return phase == Phase::Running && !winner && !hasFirstFailed; } // both run
+        bool isLost(bool isHedge) const { return winner && *winner != isHedge; }
+
+        Phase phase = Phase::Idle;
+        TargetConnection *first = nullptr;
+        std::optional<Replacement> hedge; // once it was sent
+        std::optional<AttemptResult> firstResult;
+        std::optional<AttemptResult> hedgeResult;
+        std::optional<BufferedResponse> errorResponse; // of the attempt that ended first; sent if the other one has no answer
+        std::optional<bool> winner;                    // true: the hedge; its answer is whole, or being streamed
+        bool hasFirstFailed = false;                   // the hedge goes on alone
+    };
+
     // State of one request across its attempts.
     struct Progress
     {
@@ -145,7 +172,8 @@
     static void useReplacement(DispatchRequest &request, Progress &progress);
     bool isStopTooClose(const DispatchRequest &request, const DispatchTrace &trace) const;
     Refusal makeFinalRefusal(const DispatchRequest &request, const DispatchTrace &trace, const Progress &progress) const;
-    static void logFailure(const DispatchRequest &request, const Progress &progress, const AttemptFailure &failure, Duration elapsed);
+    static void logFailure(
+        const DispatchRequest &request, const TargetId &id, const Progress &progress, const AttemptFailure &failure, Duration elapsed);
     static void recordFailure(const AttemptFailure &failure, Progress &progress);
 
     net::awaitable<AttemptResult> runAttempt(const DispatchRequest &request, Progress &progress, DispatchTrace &trace, ReplyWriter &reply);
@@ -162,6 +190,49 @@
                                                 Progress &progress,
                                                 DispatchTrace &trace,
                                                 ReplyWriter &reply);
+    net::awaitable<AttemptResult> awaitFirst(const DispatchRequest &request,
+                                             const Attempt &attempt,
+                                             TargetConnection &connection,
+                                             OutgoingRequest &outgoing,
+                                             Progress &progress,
+                                             DispatchTrace &trace,
+                                             ReplyWriter &reply);
+    net::awaitable<AttemptResult> receiveWhileSending(const DispatchRequest &request,
+                                                      const Attempt &attempt,
+                                                      TargetConnection &connection,
+                                                      OutgoingRequest &outgoing,
+                                                      Progress &progress,
+                                                      ReplyWriter &reply);
+    void finishAttempt(const DispatchRequest &request,
+                       const Attempt &attempt,
+                       TargetConnection &connection,
+                       TimePoint sentAt,
+                       const AttemptResult &result,
+                       bool isCancelled);
+    net::awaitable<AttemptResult> raceHedge(const DispatchRequest &request,
+                                            const Attempt &attempt,
+                                            TargetConnection &connection,
+                                            OutgoingRequest &outgoing,
+                                            Duration hedgeDelay,
+                                            Progress &progress,
+                                            DispatchTrace &trace,
+                                            ReplyWriter &reply);
+    net::awaitable<std::optional<HedgeHoldback>>
+    sendHedge(const DispatchRequest &request, const Attempt &first, HedgeRace &race, Progress &progress, const ReplyWriter &reply);
+    static bool claimRace(const Attempt &attempt);
+    void settleFailure(const DispatchRequest &request,
+                       const Attempt &attempt,
+                       TargetConnection &connection,
+                       TimePoint sentAt,
+                       AttemptResult result,
+                       Progress &progress);
+    AttemptResult settleRace(const DispatchRequest &request,
+                             const Attempt &first,
+                             TargetConnection &connection,
+                             TimePoint sentAt,
+                             bool isCancelled,
+                             Progress &progress);
+    void noteHedgeEnd(const DispatchRequest &request, const Attempt &first, const Replacement &hedge, std::string_view outcome) const;
     net::awaitable<void> waitForReplacement(const DispatchRequest &request,
                                             const Attempt &attempt,
                                             const TargetConnection &connection,
@@ -188,6 +259,7 @@
     AttemptFailure makeFailure(ReceiveError receiveError, const Attempt &attempt, const TargetConnection &connection);
     std::optional<AttemptFailure>
     checkResponse(const DispatchRequest &request, const Attempt &attempt, const TargetConnection &connection, Progress &progress);
+    bool mayRetryAnswer(const DispatchRequest &request, const http::response_header<> &header, Progress &progress);
     Descriptor takePooledConnection(const Attempt &attempt);
     void closeExcess(const ResolvedRequest &resolved, const TargetId &id);
     ConnectionOptions connectionOptions() const;
--- a/packages/proxy/src/target_connection.cpp
+++ b/packages/proxy/src/target_connection.cpp
@@ -183,6 +183,14 @@
     return isComplete() && m_hasSentAll && m_parser->keep_alive() && !hasExtraBytes();
 }
 
+void TargetConnection::close()
+{
+    if (m_stream.socket().is_open()) {
+        setResetOnClose(!isComplete() || !m_hasSentAll);
+    }
+    m_stream.close();
+}
+
 Descriptor TargetConnection::release()
 {
     m_stream.expires_never();
--- a/packages/proxy/src/target_connection.h
+++ b/packages/proxy/src/target_connection.h
@@ -68,6 +68,7 @@
     net::awaitable<bool> waitForBytes(TimePoint deadline);
     bool hasExtraBytes() const { return m_buffer.size() != 0; } // received after the end of the response
     bool isReusable() const;                                    // exchange complete, keep-alive, no extra bytes
+    void close();                                               // ends a pending operation; resets the connection if it is incomplete
     Descriptor release();                                       // transfers ownership of the open socket
 
 private:
--- a/packages/proxy/src/target_table.cpp
+++ b/packages/proxy/src/target_table.cpp
@@ -130,7 +130,8 @@
         return it->second;
     }
     const DispatchOptions &dispatch = m_options.dispatch;
-    Entry newEntry{.balancer = ServiceBalancer(dispatch.balancer), .budget = RetryBudget(dispatch.retryBudget)};
+    Entry newEntry{
+        .balancer = ServiceBalancer(dispatch.balancer), .budget = RetryBudget(dispatch.retryBudget), .hedge = HedgePolicy(dispatch.hedge)};
     newEntry.budget.setShare(m_retryShare);
     newEntry.balancer.setLimitSharers(m_limitSharers, m_clock.now());
     return m_entries.emplace(service, std::move(newEntry)).first->second;
@@ -190,7 +191,9 @@
 void TargetTable::noteRequest(const ServiceName &service)
 {
     const std::lock_guard lock(m_mutex);
-    entry(service).budget.noteRequest(m_clock.now());
+    Entry &it = entry(service);
+    it.budget.noteRequest(m_clock.now());
+    it.hedge.noteRequest();
 }
 
 void TargetTable::recordOutcome(const ServiceName &service, bool isRefused)
@@ -402,6 +405,57 @@
     return it != m_entries.end() && it->second.balancer.opensAt(now) == now;
 }
 
+std::optional<Duration> TargetTable::hedgeDelay(const ServiceName &service, const RouteName &route) const
+{
+    const std::lock_guard lock(m_mutex);
+    const auto it = m_entries.find(service);
+    return it == m_entries.end() ? std::nullopt : it->second.hedge.delay(route);
+}
+
+void TargetTable::noteHedgeLatency(const ServiceName &service, const RouteName &route, Duration latency)
+{
+    const std::lock_guard lock(m_mutex);
+    entry(service).hedge.noteLatency(route, latency, m_clock.now());
+}
+
+void TargetTable::noteHedgeDue(const ServiceName &service)
+{
+    const std::lock_guard lock(m_mutex);
+    entry(service).hedge.noteDue(m_clock.now());
+}
+
+HedgeConditions TargetTable::hedgeConditions(const Entry &entry, TimePoint now)
+{
+    return {.waiting = entry.queue.size(), .freeSlots = entry.balancer.freeSlots(now), .usableSlots = entry.balancer.usableSlots(now)};
+}
+
+tl::expected<Target, HedgeHoldback> TargetTable::acquireForHedge(const AcquireRequest &request, TargetReservation &reservation)
+{
+    reservation = TargetReservation(); // before the lock, which its release takes as well
+    const std::lock_guard lock(m_mutex);
+    const TimePoint now = m_clock.now();
+    Entry &it = entry(request.service);
+    if (const std::optional<HedgeHoldback> heldBack = it.hedge.check(hedgeConditions(it, now), it.budget, now)) {
+        return tl::unexpected(*heldBack);
+    }
+    const ChoiceRequest choice{.tried = request.tried, .local = m_options.failureDomain, .limit = request.limit};
+    std::optional<Target> target = it.balancer.chooseForHedge(choice, now, threadGenerator());
+    if (!target) {
+        return tl::unexpected(HedgeHoldback::NoTarget);
+    }
+    reservation
+        = TargetReservation(*this, TargetId{request.service, target->name, target->address, target->incarnation}, request.route, now);
+    return std::move(*target);
+}
+
+std::optional<HedgeHoldback> TargetTable::takeHedge(const ServiceName &service)
+{
+    const std::lock_guard lock(m_mutex);
+    const TimePoint now = m_clock.now();
+    Entry &it = entry(service);
+    return it.hedge.take(hedgeConditions(it, now), it.budget, now);
+}
+
 void TargetTable::withInFlightCount(const TargetId &id, const std::function<void(std::uint32_t)> &visit) const
 {
     const std::lock_guard lock(m_mutex);
--- a/packages/proxy/src/target_table.h
+++ b/packages/proxy/src/target_table.h
@@ -98,6 +98,13 @@
     Duration usualLatency(const ServiceName &service) const;
     Duration retryAfter(const ServiceName &service) const; // estimated time until another request can be served
 
+    /// Hedged requests; see HedgePolicy. The latencies are those of first attempts.
+    std::optional<Duration> hedgeDelay(const ServiceName &service, const RouteName &route) const;
+    void noteHedgeLatency(const ServiceName &service, const RouteName &route, Duration latency);
+    void noteHedgeDue(const ServiceName &service);
+    tl::expected<Target, HedgeHoldback> acquireForHedge(const AcquireRequest &request, TargetReservation &reservation); // doesn't wait
+    std::optional<HedgeHoldback> takeHedge(const ServiceName &service); // to be called last before the first byte
+
     /// Calls `visit` with the number of requests in flight at the target, with the table locked.
     void withInFlightCount(const TargetId &id, const std::function<void(std::uint32_t)> &visit) const;
 
@@ -121,6 +128,7 @@
     {
         ServiceBalancer balancer;
         RetryBudget budget;
+        HedgePolicy hedge;
         std::map<QueueKey, std::shared_ptr<Waiter>> queue;
     };
     class QueueEntry;
@@ -128,6 +136,7 @@
     Entry &entry(const ServiceName &service);
     std::optional<Target> tryReserve(Entry &entry, const AcquireRequest &request, bool mayOvercommit, TargetReservation &reservation);
     static Duration expectedWait(const Entry &entry, std::size_t waitersAhead, TimePoint now);
+    static HedgeConditions hedgeConditions(const Entry &entry, TimePoint now);
     static void wakeWaiters(Entry &entry, TimePoint now);
 
     const ProxyOptions &m_options;
--- a/packages/telemetry/include/pollenspoke/telemetry.h
+++ b/packages/telemetry/include/pollenspoke/telemetry.h
@@ -25,7 +25,7 @@
 // [1] Metrics
 //-----------------------------------------------------------------------------
 
-/// Monotonic counters. Refusals and retries are counted separately, by reason.
+/// Monotonic counters. Refusals, retries and hedges held back are counted separately, by reason.
 enum class Counter {
     RequestsReceived,      // request headers received completely
     AnswersWhole,          // target responses forwarded completely
@@ -53,8 +53,11 @@
     SeatsContested,        // registrations of silent seat holders, and their successors, that this Vm wrote as contested
     SeatsConfirmed,        // contested registrations of Vms that this Vm hears and wrote as held again
     DispatchesHeldCold,    // choices that left out a cold target, and attempts kept back from one, because of its warm-up limit
+    HedgesSent,            // second copies of slow requests, beside the first
+    HedgesWon,             // those whose answer went to the caller
+    HedgesCancelled,       // those that were ended as the first attempt answered
 };
-inline constexpr std::size_t counterCount = static_cast<std::size_t>(Counter::DispatchesHeldCold) + 1;
+inline constexpr std::size_t counterCount = static_cast<std::size_t>(Counter::HedgesCancelled) + 1;
 
 /// Current values.
 enum class Gauge {
@@ -95,6 +98,7 @@
     void count(Counter counter, std::uint64_t n = 1);
     void countRefusal(RefusalReason reason, RunState run);
     void countRetry(RetryReason reason);
+    void countHedgeHeldBack(HedgeHoldback reason);
     void addGauge(Gauge gauge, std::int64_t n);
     void setGauge(Gauge gauge, std::int64_t value);
     void recordTiming(Timing timing, Duration duration);
@@ -102,6 +106,7 @@
     std::uint64_t value(Counter counter) const;
     std::uint64_t refusals(RefusalReason reason) const; // sum over both run states
     std::uint64_t retries(RetryReason reason) const;
+    std::uint64_t hedgesHeldBack(HedgeHoldback reason) const;
     std::int64_t value(Gauge gauge) const;
     Duration quantile(Timing timing, double fraction) const; // upper bound of the bin that contains it; zero if nothing was recorded
 
--- a/packages/telemetry/src/metrics.cpp
+++ b/packages/telemetry/src/metrics.cpp
@@ -52,6 +52,9 @@
     "seats_contested",
     "seats_confirmed",
     "dispatches_held_cold",
+    "hedges_sent",
+    "hedges_won",
+    "hedges_cancelled",
 };
 constexpr std::array<std::string_view, gaugeCount> gaugeNames{
     "caller_connections",
@@ -84,6 +87,7 @@
     std::array<std::atomic<std::uint64_t>, counterCount> counters{};
     std::array<std::array<std::atomic<std::uint64_t>, 2>, refusalReasonCount> refusals{};
     std::array<std::atomic<std::uint64_t>, retryReasonCount> retries{};
+    std::array<std::atomic<std::uint64_t>, hedgeHoldbackCount> hedgesHeldBack{};
     std::array<std::atomic<std::int64_t>, gaugeCount> gauges{};
     std::array<Histogram, timingCount> timings{
         makeTimingHistogram(), makeTimingHistogram(), makeTimingHistogram(), makeTimingHistogram(), makeTimingHistogram()};
@@ -111,6 +115,11 @@
     m_data->retries[indexOf(reason)].fetch_add(1, std::memory_order_relaxed);
 }
 
+void Metrics::countHedgeHeldBack(HedgeHoldback reason)
+{
+    m_data->hedgesHeldBack[indexOf(reason)].fetch_add(1, std::memory_order_relaxed);
+}
+
 void Metrics::addGauge(Gauge gauge, std::int64_t n)
 {
     m_data->gauges[indexOf(gauge)].fetch_add(n, std::memory_order_relaxed);
@@ -142,6 +151,11 @@
     return m_data->retries[indexOf(reason)].load(std::memory_order_relaxed);
 }
 
+std::uint64_t Metrics::hedgesHeldBack(HedgeHoldback reason) const
+{
+    return m_data->hedgesHeldBack[indexOf(reason)].load(std::memory_order_relaxed);
+}
+
 std::int64_t Metrics::value(Gauge gauge) const
 {
     return m_data->gauges[indexOf(gauge)].load(std::memory_order_relaxed);
@@ -184,6 +198,11 @@
         text << "pollenspoke_retries_total{reason=\"" << retryReasonName(static_cast<RetryReason>(i)) << "\"} " << m_data->retries[i]
              << '\n';
     }
+    text << "# TYPE pollenspoke_hedges_held_back_total counter\n";
+    for (std::size_t i = 0; i < hedgeHoldbackCount; ++i) {
+        text << "pollenspoke_hedges_held_back_total{reason=\"" << hedgeHoldbackName(static_cast<HedgeHoldback>(i)) << "\"} "
+             << m_data->hedgesHeldBack[i] << '\n';
+    }
     for (std::size_t i = 0; i < gaugeCount; ++i) {
         text << "# TYPE pollenspoke_" << gaugeNames[i] << " gauge\n";
         text << "pollenspoke_" << gaugeNames[i] << ' ' << m_data->gauges[i] << '\n';
