Quota: accounts start with 3 % of five seconds besides half a token per home

After all Vms were killed, accounts below their limits got 429, about 20 each, until the buckets had filled.

The initial share is divided among at least as many homes as a complete fleet has, as Vms that start one after the other each know a longer list. The sum of all initial tokens is limited to what the platform tolerates: with more than 24 homes and a low rate the half token per home alone exceeded it.

--- a/packages/policy/include/pollenspoke/policy.h
+++ b/packages/policy/include/pollenspoke/policy.h
@@ -1267,6 +1267,9 @@
     double extraBurst = 8;                                // tokens added over all homes; the platform tolerates 20
     double minHomeBurst = 1.5;                            // tokens; an account with a small burst has fewer homes
     double initialTokensPerHome = 0.5;                    // tokens at start-up; given as whole tokens to some of the homes
+    double initialShare = 0.03;                           // more of them, of what the account may send in 5 s; over all homes
+    double toleratedFactor = 1.1;                         // of the platform, in any 5 s; the initial tokens never exceed
+    double toleratedExtra = 20;                           // what it leaves above `rateFactor` and `extraBurst`
     Duration askPause = std::chrono::milliseconds(60);    // before asking again after no seat holder had a token
     Duration seatGrace = std::chrono::milliseconds(2200); // Vms register again within 2 s with a restored store
     Duration startGrace = std::chrono::seconds(5);        // until the list of a Vm that starts after that is complete
@@ -1315,6 +1318,7 @@
     std::size_t maxHomes(const Limits &limits) const; // as many as get a usable share of the burst
     std::vector<VmName> homesAmong(std::vector<VmName> holders, const AccountName &account, const Limits &limits) const;
     Limits share(const AccountName &name, const Limits &limits) const;
+    double initialTokens(const std::vector<VmName> &homeVms, const Limits &limits) const; // of this Vm
     Account makeAccount(const AccountName &name, const Limits &limits, TimePoint now) const;
     Account &account(const AccountName &name, const Limits &limits, TimePoint now);
 
--- a/packages/policy/src/quota_pool.cpp
+++ b/packages/policy/src/quota_pool.cpp
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr double unlimitedRate = 1e6; // requests/s; the highest rate that can be declared means unlimited
+constexpr double windowSeconds = 5;   // in which the platform counts an account's requests
 constexpr Duration maxRetryAfter = std::chrono::seconds(2);
 
 } // namespace
@@ -67,15 +68,33 @@
                   .burst = (limits.burst * m_options.rateFactor + m_options.extraBurst) / n};
 }
 
-// A fraction of a token admits no request, so the initial tokens are given as whole ones to the first homes. There are none until the
-// homes are known.
+// Tokens of this Vm as one of the homes of an account that it hasn't known before. A fraction of a token admits no request, so the
+// initial tokens per home are given as whole ones to the first homes. The initial share is divided equally and counts towards the next
+// token. Divided among at least as many homes as a fleet has when it is complete: Vms that start one after the other each know a
+// longer list than those before, and their parts must not add up to more than the share.
+//
+// All of it together stays within what the platform tolerates above the regular shares in the time of its window, as each Vm may have
+// given out the whole of its bucket before it restarted.
+double QuotaPool::initialTokens(const std::vector<VmName> &homeVms, const Limits &limits) const
+{
+    const auto self = std::find(homeVms.begin(), homeVms.end(), m_self);
+    if (!m_isSeatUsed || self == homeVms.end()) {
+        return 0;
+    }
+    const double windowTokens = limits.ratePerSecond * windowSeconds + limits.burst;
+    const double spare = std::max(
+        (m_options.toleratedFactor - m_options.rateFactor) * windowTokens + m_options.toleratedExtra - m_options.extraBurst, 0.0);
+    const double whole = std::min(std::ceil(static_cast<double>(homeVms.size()) * m_options.initialTokensPerHome), std::floor(spare));
+    const double shared = std::min(m_options.initialShare * windowTokens, spare - whole);
+    const auto n = static_cast<double>(std::max(homeVms.size(), std::min(maxHomes(limits), minSeats)));
+    const bool getsWhole = static_cast<double>(self - homeVms.begin()) < whole;
+    return (getsWhole ? 1 : 0) + shared / n;
+}
+
+// There are no initial tokens until the homes are known.
 QuotaPool::Account QuotaPool::makeAccount(const AccountName &name, const Limits &limits, TimePoint now) const
 {
-    const std::vector<VmName> homeVms = homes(name, limits);
-    const double fullTokenCount = std::ceil(static_cast<double>(homeVms.size()) * m_options.initialTokensPerHome);
-    const auto end = homeVms.begin() + std::min(static_cast<std::ptrdiff_t>(fullTokenCount), std::ssize(homeVms));
-    const bool getsToken = m_isSeatUsed && std::find(homeVms.begin(), end, m_self) != end;
-    return Account{.bucket = TokenBucket(share(name, limits), getsToken ? 1 : 0, now),
+    return Account{.bucket = TokenBucket(share(name, limits), initialTokens(homes(name, limits), limits), now),
                    .limits = limits,
                    .seatsVersion = m_seatsVersion,
                    .hasInitialTokens = !m_holders.empty()};
--- a/packages/policy/tests/test_quota_pool.cpp
+++ b/packages/policy/tests/test_quota_pool.cpp
@@ -2,6 +2,7 @@
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <deque>
+#include <functional>
 #include <pollenspoke/policy.h>
 
 using namespace Pollenspoke;
@@ -307,3 +308,151 @@
     const Outcome outcome = simulate(fleet, {.requestsPerSecond = 300, .idleTime = 9s, .seatChanges = changes});
     BOOST_TEST(static_cast<double>(outcome.maxInWindow) <= windowLimit(fleet.limits));
 }
+
+namespace {
+
+// Rates and bursts from small accounts with few homes to large ones; seats from small fleets to more than the platform's.
+struct AccountCase
+{
+    Limits limits;
+    std::size_t seats = 0;
+};
+
+std::vector<AccountCase> accountCases()
+{
+    std::vector<AccountCase> cases;
+    for (const double rate : {2.0, 8.0, 40.0, 120.0}) {
+        for (const double burst : {0.5, 1.0, 4.0}) { // s of the rate
+            for (const std::size_t seats : {1U, 3U, 8U, 16U, 32U}) {
+                cases.push_back({.limits = {.ratePerSecond = rate, .burst = std::max(rate * burst, 1.0)}, .seats = seats});
+            }
+        }
+    }
+    cases.push_back({.limits = {.ratePerSecond = 2, .burst = 60}, .seats = 40}); // many homes, small rate: whole tokens alone exceed
+    return cases;
+}
+
+// Most that the fleet can admit in 5 s: the buckets are full at its start, and whatever a Vm has is taken at each step.
+// `restartAt(vm)`: time of its restart after the start of the window; beyond the window: none.
+double mostInWindow(const AccountCase &it, const std::function<Duration(std::size_t)> &restartAt)
+{
+    constexpr Duration step = 20ms;
+    Fleet fleet(it.seats, it.seats);
+    fleet.limits = it.limits;
+    const TimePoint start = TimePoint(1h) + 100s;
+    for (std::size_t vm = 0; vm < it.seats; ++vm) {
+        fleet.restart(vm, TimePoint(1h)); // with the limits of the case
+    }
+    double admitted = 0;
+    std::vector<bool> hasRestarted(it.seats, false);
+    for (TimePoint now = start; now <= start + 5s; now += step) {
+        for (std::size_t vm = 0; vm < it.seats; ++vm) {
+            while (fleet.pools[vm].lend(account, fleet.limits, now)) {
+                ++admitted;
+            }
+            if (!hasRestarted[vm] && now - start >= restartAt(vm)) {
+                hasRestarted[vm] = true;
+                fleet.restart(vm, now);
+            }
+        }
+    }
+    return admitted;
+}
+
+std::string nameOf(const AccountCase &it)
+{
+    return "rate " + std::to_string(it.limits.ratePerSecond) + ", burst " + std::to_string(it.limits.burst) + ", "
+        + std::to_string(it.seats) + " seats";
+}
+
+} // namespace
+
+// Guards against initial tokens that let an account exceed what the platform tolerates: all buckets are full and given out, then all Vms
+// are killed and start at once, at any moment of the window.
+BOOST_AUTO_TEST_CASE(the_window_holds_whenever_all_vms_restart_at_once)
+{
+    for (const AccountCase &it : accountCases()) {
+        for (Duration at = 0s; at <= 5s; at += 250ms) {
+            BOOST_TEST(mostInWindow(it, [at](std::size_t) { return at; }) <= windowLimit(it.limits), nameOf(it));
+        }
+    }
+}
+
+// The same if the Vms restart one after another, or at random times.
+BOOST_AUTO_TEST_CASE(the_window_holds_if_each_vm_restarts_once_in_it)
+{
+    Generator generator{11};
+    std::uniform_int_distribution<int> randomMs(0, 5000);
+    for (const AccountCase &it : accountCases()) {
+        const auto inTurn = [&it](std::size_t vm) { return Duration(5s) * static_cast<int>(vm) / static_cast<int>(it.seats); };
+        BOOST_TEST(mostInWindow(it, inTurn) <= windowLimit(it.limits), nameOf(it));
+        for (int i = 0; i < 5; ++i) {
+            std::vector<Duration> times(it.seats);
+            std::generate(times.begin(), times.end(), [&] { return Duration(randomMs(generator) * 1ms); });
+            BOOST_TEST(mostInWindow(it, [&times](std::size_t vm) { return times[vm]; }) <= windowLimit(it.limits), nameOf(it));
+        }
+    }
+}
+
+// Guards against parts of the initial share that add up to more than it: each Vm that starts knows only those that started before.
+BOOST_AUTO_TEST_CASE(the_window_holds_if_vms_start_one_after_another_with_growing_lists)
+{
+    for (const AccountCase &it : accountCases()) {
+        if (it.seats > minSeats) {
+            continue; // the store has a larger fleet's registrations before its Vms have their seats
+        }
+        Fleet fleet(it.seats, it.seats);
+        fleet.limits = it.limits;
+        double admitted = it.limits.burst * QuotaPoolOptions().rateFactor + QuotaPoolOptions().extraBurst; // before the Vms were killed
+        const TimePoint start = TimePoint(1h) + 100s;
+        for (std::size_t vm = 0; vm < it.seats; ++vm) {
+            fleet.pools[vm] = QuotaPool();
+        }
+        std::size_t started = 0;
+        for (TimePoint now = start; now <= start + 5s; now += 20ms) {
+            if (started < it.seats && now - start >= 100ms * static_cast<int>(started)) {
+                ++started;
+                const std::vector<VmName> holders(fleet.seatHolders.begin(),
+                                                  fleet.seatHolders.begin() + static_cast<std::ptrdiff_t>(started));
+                for (std::size_t vm = 0; vm < started; ++vm) {
+                    fleet.pools[vm].addAccount(account, it.limits, now);
+                    fleet.pools[vm].setSeats({"vm-" + std::to_string(vm)}, holders, now);
+                }
+            }
+            for (std::size_t vm = 0; vm < started; ++vm) {
+                while (fleet.pools[vm].lend(account, it.limits, now)) {
+                    ++admitted;
+                }
+            }
+        }
+        BOOST_TEST(admitted <= windowLimit(it.limits), nameOf(it) << ": " << admitted);
+    }
+}
+
+// Guards against refusals for want of tokens after all Vms were killed: accounts below their limits got 429, about 20 each.
+BOOST_AUTO_TEST_CASE(from_three_seconds_after_a_start_of_all_vms_no_account_below_its_limits_is_refused)
+{
+    for (const double rate : {5.0, 20.0, 80.0}) {
+        for (const double use : {0.5, 0.8, 0.95}) {
+            for (const unsigned seed : {1U, 2U, 3U}) {
+                Fleet fleet(40, 8);
+                fleet.limits = {.ratePerSecond = rate, .burst = rate};
+                fleet.generator.seed(seed);
+                const TimePoint start(1h);
+                for (std::size_t vm = 0; vm < fleet.pools.size(); ++vm) {
+                    fleet.restart(vm, start);
+                }
+                std::uniform_int_distribution<std::size_t> randomVm(0, fleet.seatHolders.size() - 1);
+                const auto interval = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(1 / (rate * use)));
+                int refusedEarly = 0;
+                int refusedLate = 0;
+                for (TimePoint now = start; now < start + 10s; now += interval) {
+                    const bool isAdmitted = fleet.admit(randomVm(fleet.generator), false, now);
+                    (now < start + 3s ? refusedEarly : refusedLate) += isAdmitted ? 0 : 1;
+                }
+                BOOST_TEST(refusedLate == 0, "rate " << rate << ", use " << use << ", seed " << seed << ": " << refusedLate);
+                BOOST_TEST_MESSAGE("rate " << rate << ", use " << use << ": " << refusedEarly << " refused in the first 3 s");
+            }
+        }
+    }
+}
