--- a/packages/policy/include/pollenspoke/policy.h
+++ b/packages/policy/include/pollenspoke/policy.h
@@ -812,6 +812,7 @@
     void setUnknown(bool isUnknown, TimePoint now);     // true: a registration that states a warm-up may be missing
     void noteAnswer(Duration warmup, TimePoint now);    // remaining time by an answer; doesn't shorten what is known
 
+    bool isCold(TimePoint now) const; // as far as is known, whether the service has a limit or not
     bool isLimited(TimePoint now) const;
     double rate() const { return m_bucket ? m_bucket->limits().ratePerSecond : 0; }
     Duration waitForToken(TimePoint now) const; // one hour if there will be none
--- a/packages/policy/src/balancer.cpp
+++ b/packages/policy/src/balancer.cpp
@@ -530,7 +530,8 @@
         return halfOpenSlots;
     }
     const bool isReturning = member.returnedAt != TimePoint() && now - member.returnedAt < m_options.returnTime;
-    if (isReturning && !isOverloaded(now) && (!member.requestStarts.empty() || returnRank(member.target.name, m_sharers) >= member.target.slots)) {
+    if (isReturning && !isOverloaded(now)
+        && (!member.requestStarts.empty() || returnRank(member.target.name, m_sharers) >= member.target.slots)) {
         return 0;
     }
     return member.target.slots + request.overcommit;
@@ -618,7 +619,7 @@
     const bool isReturning = member.returnedAt != TimePoint() && now - member.returnedAt < m_options.returnTime;
     const bool isTried = std::find(request.tried.begin(), request.tried.end(), member.target.name) != request.tried.end();
     return isOpen(member, now) && !isTried && !isLimited && !hasFailed(member) && !member.isHalfOpen && !isReturning
-        && pausedUntil(member, now) <= now && avoidedUntil(member, request, now) <= now && member.warmupUntil <= now && !member.warmup.isLimited(now)
+        && pausedUntil(member, now) <= now && avoidedUntil(member, request, now) <= now && !member.warmup.isCold(now)
         && !isPossiblyStuck(member, now) && hasCapacity(member, request, now);
 }
 
--- a/packages/policy/tests/test_hedge.cpp
+++ b/packages/policy/tests/test_hedge.cpp
@@ -372,6 +372,19 @@
         BOOST_TEST(!chooseForHedge(balancer, start).has_value(), "warming up");
         BOOST_TEST(chooseForHedge(balancer, start + 1s).has_value(), "warm");
     }
+    {
+        ServiceBalancer balancer = makeBalancer();
+        balancer.announce(second, {.warmup = 1s}, start);
+        BOOST_TEST(!chooseForHedge(balancer, start).has_value(), "warming up by its own answer");
+        BOOST_TEST(chooseForHedge(balancer, start + 1s).has_value(), "warm");
+    }
+    {
+        ServiceBalancer balancer;
+        Target evacuated = makeTarget("2");
+        evacuated.isEvacuated = true;
+        balancer.setTargets({makeTarget("1"), evacuated}, start);
+        BOOST_TEST(!chooseForHedge(balancer, start).has_value(), "evacuated");
+    }
     for (const TargetAnnouncement &it :
          {TargetAnnouncement{.isLeaving = true}, TargetAnnouncement{.pause = 1s}, TargetAnnouncement{.limit = 1000.0}}) {
         ServiceBalancer balancer = makeBalancer();
