Impaired VM: one that alone fails to reach many targets refuses requests and blames no target

A VM with a congested link paused and reported its targets one after the other, and stayed in the address answers: 1,392 failed connection attempts of two VMs, and 208 requests refused as target_unreachable. VmDiagnosis now compares this VM's failures with what the other seat holders report. An impaired VM says so in its status reports (and seat holders hand that on in feed answers), is left out of address answers while two others are left, blames no target, and refuses requests with 503 vm_impaired except for a few trials. If half of the seat holders or more are impaired, none of them does.

The test through several processes is missing: on one machine, targets can't be made unreachable for one of them only.

--- a/packages/base/include/pollenspoke/base.h
+++ b/packages/base/include/pollenspoke/base.h
@@ -180,6 +180,7 @@
     ShuttingDown,         // 503 the Vm is shutting down
     StopTimeout,          // 504 dispatched, no complete response before the Vm had to stop
     TooManyConnections,   // 503 this Vm's connection limit is reached
+    VmImpaired,           // 503 this Vm fails to reach targets that other Vms reach
     CallerGone,           // the caller closed its connection; counted, nothing is sent
 };
 inline constexpr std::size_t refusalReasonCount = static_cast<std::size_t>(RefusalReason::CallerGone) + 1;
@@ -269,6 +270,7 @@
     SeatContested           = 6005, // a Vm's registration was written as contested, since it is silent, or as held again, since it is heard
     SeatRightChanged        = 6006, // this Vm may use its seat from now on, or no longer; with the age of the proof
     SeatReleased            = 6007, // gave up the seat at a planned stop; with the outcome
+    VmImpaired              = 6008, // this Vm fails to reach targets that the others reach, or does so no more; with counts
     // clang-format on
 };
 
--- a/packages/base/src/events.cpp
+++ b/packages/base/src/events.cpp
@@ -57,6 +57,7 @@
     EventRow{Event::SeatContested, "seat_contested"},
     EventRow{Event::SeatRightChanged, "seat_right_changed"},
     EventRow{Event::SeatReleased, "seat_released"},
+    EventRow{Event::VmImpaired, "vm_impaired"},
 };
 
 constexpr auto sortedEvents = [] {
--- a/packages/base/src/reasons.cpp
+++ b/packages/base/src/reasons.cpp
@@ -45,6 +45,7 @@
     {RefusalReason::ShuttingDown, 503, "shutting_down"},
     {RefusalReason::StopTimeout, 504, "stop_timeout"},
     {RefusalReason::TooManyConnections, 503, "too_many_connections"},
+    {RefusalReason::VmImpaired, 503, "vm_impaired"},
     {RefusalReason::CallerGone, 0, "caller_gone"},
 }};
 
--- a/packages/fleet/src/fleet_vm.cpp
+++ b/packages/fleet/src/fleet_vm.cpp
@@ -854,6 +854,7 @@
     // Before it became a deputy, a Vm without a seat had the store's answers from others.
     const std::optional<TimePoint> reachableSince = feed.deputySince() ? feed.deputySince() : storeReachableSince;
     const StatusReport status{.isLeaving = isLeaving,
+                              .isImpaired = proxy.isImpaired(),
                               .newestChange = newestChange,
                               .declarationsVersion = configuration.declarationsVersion(),
                               .storeReachableFor = reachableSince && members.hasStoreAccess()
@@ -883,10 +884,16 @@
 {
     net::steady_timer timer(context);
     TimePoint lastFullReportAt;
+    bool wasImpaired = false;
     for (;;) {
         timer.expires_after(holdsSeat() ? options.targetReportPeriod : options.statusPeriod);
         co_await timer.async_wait(net::use_awaitable);
         const TimePoint now = clock.now();
+        proxy.setOtherHolders(members.otherHolders(now));
+        if (const bool isImpaired = proxy.isImpaired(); std::exchange(wasImpaired, isImpaired) != isImpaired) {
+            members.setImpaired(isImpaired);
+            sendReport(members.reportReceivers(), std::nullopt);
+        }
         const bool isFullReport = now - lastFullReportAt >= options.statusPeriod;
         std::vector<const Member *> near;
         std::vector<const Member *> distant;
@@ -912,6 +919,7 @@
 {
     if (const auto *status = std::get_if<StatusReport>(&message)) {
         members.recordReport(sender, status->isLeaving, status->storeReachableFor, status->newestChange, clock.now());
+        members.recordHealth(sender, status->isImpaired, clock.now());
         members.recordDeclarationsVersion(sender, status->declarationsVersion);
         checkLocalOutage();
         if (status->targetReports) {
--- a/packages/fleet/src/link.cpp
+++ b/packages/fleet/src/link.cpp
@@ -30,6 +30,7 @@
 {
     fleet::Status &status = *datagram.mutable_status();
     status.set_is_leaving(report.isLeaving);
+    status.set_is_impaired(report.isImpaired);
     status.set_declarations_version(report.declarationsVersion);
     status.set_newest_era(report.newestChange.era());
     status.set_newest_revision(report.newestChange.revision());
@@ -156,6 +157,7 @@
         status.set_vm(it.vm.value);
         status.set_report_age_ms(toMs(it.reportAge));
         status.set_is_leaving(it.isLeaving);
+        status.set_is_impaired(it.isImpaired);
     }
     for (const VmName &it : reply.deputies) {
         answer.add_deputies(it.value);
@@ -238,7 +240,8 @@
         }
     }
     for (const fleet::SeatHolderStatus &it : answer.overdue()) {
-        reply.overdue.push_back({.vm = {it.vm()}, .reportAge = milliseconds(it.report_age_ms()), .isLeaving = it.is_leaving()});
+        reply.overdue.push_back(
+            {.vm = {it.vm()}, .reportAge = milliseconds(it.report_age_ms()), .isLeaving = it.is_leaving(), .isImpaired = it.is_impaired()});
     }
     for (const std::string &it : answer.deputies()) {
         reply.deputies.push_back({it});
@@ -271,6 +274,7 @@
 StatusReport decodeStatus(const fleet::Status &status)
 {
     StatusReport report{.isLeaving = status.is_leaving(),
+                        .isImpaired = status.is_impaired(),
                         .newestChange = {status.newest_era(), status.newest_revision()},
                         .declarationsVersion = status.declarations_version(),
                         .storeReachableFor = milliseconds(status.store_up_ms())};
--- a/packages/fleet/src/link.h
+++ b/packages/fleet/src/link.h
@@ -14,6 +14,7 @@
 struct StatusReport
 {
     bool isLeaving = false;
+    bool isImpaired = false;                    // fails to reach targets that other seat holders reach
     StorePosition newestChange;                 // of all changes that the sender knows
     std::uint64_t declarationsVersion = 0;      // of those in force; 0: none
     Duration storeReachableFor{};               // time of uninterrupted access to the store; 0: the store is unreachable
--- a/packages/fleet/src/members.cpp
+++ b/packages/fleet/src/members.cpp
@@ -6,6 +6,12 @@
 
 namespace Pollenspoke {
 
+namespace {
+
+constexpr std::size_t minNamedVms = 2; // in an address answer: callers survive the loss of one
+
+} // namespace
+
 Members::Members(VmName self, FailureDomain domain, Duration silenceLimit)
     : m_self(std::move(self))
     , m_domain(std::move(domain))
@@ -109,6 +115,15 @@
     }
 }
 
+void Members::recordHealth(const VmName &vm, bool isImpaired, TimePoint now)
+{
+    const auto it = m_members.find(vm);
+    if (it != m_members.end()) {
+        it->second.isImpaired = isImpaired;
+        it->second.healthReportedAt = now;
+    }
+}
+
 void Members::recordDeclarationsVersion(const VmName &vm, std::uint64_t version)
 {
     const auto it = m_members.find(vm);
@@ -155,6 +170,11 @@
         } else if (reportAt > member.lastReportAt) {
             member.isLeaving = false;
         }
+        if (isOverdue && status->isImpaired) {
+            member.isImpaired = true;
+        } else if (reportAt > member.lastReportAt) {
+            member.isImpaired = false;
+        }
         member.lastReportAt = std::max(member.lastReportAt, reportAt);
     }
 }
@@ -166,8 +186,8 @@
         const Member &member = m_members.at(it);
         const bool isLeaving = isSelf(it) ? m_isLeaving : member.isLeaving;
         const Duration age = isSelf(it) ? Duration(0) : now - member.lastReportAt;
-        if (isLeaving || age > freshReportAge) {
-            overdue.push_back({.vm = it, .reportAge = age, .isLeaving = isLeaving});
+        if (isLeaving || isImpaired(it) || age > freshReportAge) {
+            overdue.push_back({.vm = it, .reportAge = age, .isLeaving = isLeaving, .isImpaired = isImpaired(it)});
         }
     }
     return overdue;
@@ -249,6 +269,34 @@
     return live;
 }
 
+std::vector<HolderHealth> Members::otherHolders(TimePoint now) const
+{
+    std::vector<HolderHealth> others;
+    if (!isSeatHolder(m_self)) {
+        return others;
+    }
+    for (const VmName &it : liveSeatHolders(now)) {
+        const Member &member = m_members.at(it);
+        if (!isSelf(it) && member.healthReportedAt != TimePoint() && now - member.healthReportedAt < freshReportAge) {
+            others.push_back({.vm = it, .isImpaired = member.isImpaired});
+        }
+    }
+    return others;
+}
+
+bool Members::isImpaired(const VmName &vm) const
+{
+    return isSelf(vm) ? m_isImpaired : m_members.at(vm).isImpaired;
+}
+
+// All of them if fewer than two would be left.
+std::vector<VmName> Members::withoutImpaired(const std::vector<VmName> &vms) const
+{
+    std::vector<VmName> healthy;
+    std::copy_if(vms.begin(), vms.end(), std::back_inserter(healthy), [this](const VmName &it) { return !isImpaired(it); });
+    return healthy.size() >= minNamedVms ? healthy : vms;
+}
+
 // The given Vms that are strong enough for an equal share of the callers.
 std::vector<VmName> Members::selectStrong(const std::vector<VmName> &vms) const
 {
@@ -266,11 +314,11 @@
 }
 
 // Strong live seat holders in the caller's failure domain, so that traffic stays within it. With fewer than two of them, the strong ones of
-// all domains; if those are less than half of all seats, all live seat holders, and if these are, further live Vms.
+// all domains; if those are less than half of all seats, all live seat holders, and if these are, further live Vms. Impaired ones are left
+// out while two others are left.
 std::vector<Address> Members::callerAddresses(const FailureDomain &domain, TimePoint now) const
 {
-    constexpr std::size_t minLocalVms = 2;
-    std::vector<VmName> selected = liveSeatHolders(now);
+    std::vector<VmName> selected = withoutImpaired(liveSeatHolders(now));
     std::vector<VmName> local;
     std::copy_if(selected.begin(), selected.end(), std::back_inserter(local), [this, &domain](const VmName &it) {
         return m_members.at(it).registration.failureDomain == domain;
@@ -278,13 +326,14 @@
     local = selectStrong(local);
     const std::vector<VmName> strong = selectStrong(selected);
     const std::size_t minAddresses = seatHolders().size() / 2;
-    if (local.size() >= minLocalVms) {
+    if (local.size() >= minNamedVms) {
         selected = std::move(local);
     } else if (strong.size() >= minAddresses) {
         selected = strong;
     } else {
         for (auto it = m_members.begin(); it != m_members.end() && selected.size() < minAddresses; ++it) {
-            if (isLive(it->second, now) && std::find(selected.begin(), selected.end(), it->first) == selected.end()) {
+            const bool isSelected = std::find(selected.begin(), selected.end(), it->first) != selected.end();
+            if (!isSelected && isLive(it->second, now) && !isImpaired(it->first)) {
                 selected.push_back(it->first);
             }
         }
--- a/packages/fleet/src/members.h
+++ b/packages/fleet/src/members.h
@@ -6,12 +6,13 @@
 
 namespace Pollenspoke {
 
-/// A seat holder that is silent or leaving, as seen by another Vm.
+/// A seat holder that is silent, leaving or impaired, as seen by another Vm.
 struct SeatHolderStatus
 {
     VmName vm;
     Duration reportAge{};
     bool isLeaving = false;
+    bool isImpaired = false;
 };
 
 /// One registered Vm.
@@ -25,7 +26,9 @@
     StorePosition newestChange;                   // newest change of the store it has, from its last report
     std::uint64_t declarationsVersion = 0;        // in force there, from its last message
     bool isLeaving = false;
-    bool isMissing = false; // the restored store lacks its registration
+    bool isMissing = false;     // the restored store lacks its registration
+    bool isImpaired = false;    // from its last report, or from that of a seat holder that had it
+    TimePoint healthReportedAt; // when it last told this Vm whether it is impaired; the default: never
     SeatClaim claim = SeatClaim::Held;
     StorePosition seatUsedAt;   // of the newest registrations by which it began to use a seat, as its own says
     std::uint64_t revision = 0; // of its registration
@@ -56,17 +59,19 @@
     std::size_t missingCount() const;
     bool isInRestoreGrace() const { return m_restoredAt.has_value(); }
     void recordReport(const VmName &vm, bool isLeaving, Duration storeReachableFor, StorePosition newestChange, TimePoint now);
+    void recordHealth(const VmName &vm, bool isImpaired, TimePoint now); // from a report
     void recordDeclarationsVersion(const VmName &vm, std::uint64_t version);
     void recordContact(const VmName &vm, bool isLeaving, TimePoint now); // a message other than a report
     void recordSignOfLife(const VmName &vm, TimePoint now);              // one that doesn't tell whether the Vm is leaving
 
-    /// Records another Vm's view of the seat holders: those it considers overdue; it heard from all others lately.
+    /// Records another Vm's view of the seat holders: those it considers overdue, leaving or impaired; it heard from all others lately.
     void recordSeatHolders(const std::vector<SeatHolderStatus> &overdue, TimePoint now);
     std::vector<SeatHolderStatus> overdueSeatHolders(TimePoint now) const;
 
     /// Whether at least two other Vms report uninterrupted access to the store since the given time.
     bool hadStoreAccessSince(TimePoint since, TimePoint now) const;
     void setLeaving() { m_isLeaving = true; }                           // marks this Vm as leaving
+    void setImpaired(bool isImpaired) { m_isImpaired = isImpaired; }    // this Vm, by its own diagnosis
     void setStoreAccess(bool isReachable) { m_hasStore = isReachable; } // of this Vm, by its own calls
     bool hasStoreAccess() const { return m_hasStore; }
 
@@ -82,6 +87,7 @@
     bool isSeatHolder(const VmName &vm) const;
     std::vector<VmName> liveSeatHolders(TimePoint now) const;                               // seat holders that callers may be sent to
     std::vector<Address> callerAddresses(const FailureDomain &domain, TimePoint now) const; // for callers in that failure domain
+    std::vector<HolderHealth> otherHolders(TimePoint now) const; // live ones with a recent report; none if this Vm has no seat
     bool isLive(const Member &member, TimePoint now) const;
 
     /// Receivers of this Vm's status reports: the other seat holders if it is one or their deputy, else nobody. Other Vms without a seat
@@ -117,6 +123,8 @@
     std::vector<VmName> lostVms(Duration silence, TimePoint now);
 
 private:
+    bool isImpaired(const VmName &vm) const;
+    std::vector<VmName> withoutImpaired(const std::vector<VmName> &vms) const;
     std::vector<VmName> selectStrong(const std::vector<VmName> &vms) const;
     bool hasAccess(const VmName &holder, TimePoint now) const; // to the store
 
@@ -125,6 +133,7 @@
     Duration m_silenceLimit;
     bool m_isLeaving = false;
     bool m_isDeputy = false;
+    bool m_isImpaired = false;
     bool m_hasStore = true;                // by its own calls; assumed until one fails
     std::map<VmName, Member> m_members;    // including this Vm
     std::optional<TimePoint> m_restoredAt; // empty: no grace
--- a/packages/fleet/tests/test_link.cpp
+++ b/packages/fleet/tests/test_link.cpp
@@ -120,3 +120,17 @@
     BOOST_TEST(!unknown.declarations.has_value());
     BOOST_TEST(!unknown.departures.has_value()); // not the same as: no target left
 }
+
+// A Vm of an earlier version sends no such field, and counts as healthy.
+BOOST_AUTO_TEST_CASE(a_status_report_says_whether_its_sender_is_impaired)
+{
+    for (const bool isImpaired : {false, true}) {
+        const auto decoded = decodeDatagram(encodeDatagram(sender, StatusReport{.isImpaired = isImpaired}));
+        BOOST_REQUIRE(decoded.has_value());
+        BOOST_TEST(std::get<StatusReport>(decoded->second).isImpaired == isImpaired);
+        const FeedReply reply{.overdue = {{.vm = {"vm-2"}, .reportAge = std::chrono::milliseconds(7), .isImpaired = isImpaired}}};
+        const auto decodedReply = decodeDatagram(encodeDatagram(sender, reply));
+        BOOST_REQUIRE(decodedReply.has_value());
+        BOOST_TEST(std::get<FeedReply>(decodedReply->second).overdue.at(0).isImpaired == isImpaired);
+    }
+}
--- a/packages/fleet/tests/test_members.cpp
+++ b/packages/fleet/tests/test_members.cpp
@@ -191,6 +191,78 @@
     BOOST_TEST((addressesOf("fd-1") == std::set<std::string>{"10.0.0.0", "10.0.0.3", "10.0.0.5", "10.0.0.6", "10.0.0.7"}));
 }
 
+// Pattern: a seat holder with a congested link stays in the address answers, and most of its callers get no answer in time.
+BOOST_AUTO_TEST_CASE(an_impaired_vm_gets_no_callers_while_two_others_are_left)
+{
+    Members members = makeMembers(40); // four seat holders in each domain
+    const auto hasAddress = [&members](int vm, TimePoint now) {
+        const std::vector<Address> addresses = members.callerAddresses({vm % 2 == 0 ? "fd-a" : "fd-b"}, now);
+        const std::string ip = "10.0.0." + std::to_string(vm + 1);
+        return std::any_of(addresses.begin(), addresses.end(), [&ip](const Address &it) { return it.ip == ip; });
+    };
+    const auto report = [&members](int vm, bool isImpaired, TimePoint now) {
+        members.recordReport({"vm-" + std::to_string(vm)}, false, 10s, {1, 1}, now);
+        members.recordHealth({"vm-" + std::to_string(vm)}, isImpaired, now);
+    };
+    report(1, true, start);
+    BOOST_TEST(!hasAddress(1, start));
+    BOOST_TEST(members.callerAddresses({"fd-b"}, start).size() == 3U);
+    BOOST_TEST(members.callerAddresses({"fd-a"}, start).size() == 4U);
+    BOOST_TEST(members.callerAddresses({"elsewhere"}, start).size() == 7U);
+    report(3, true, start);
+    BOOST_TEST(members.callerAddresses({"fd-b"}, start).size() == 2U);
+    report(5, true, start); // one is left there: the healthy ones of all domains
+    BOOST_TEST(members.callerAddresses({"fd-b"}, start).size() == 5U);
+    BOOST_TEST(!hasAddress(1, start));
+    report(5, false, start);
+    BOOST_TEST(!hasAddress(3, start + 2s)); // its reports may be lost on its way
+    report(3, false, start + 2s);
+    BOOST_TEST(hasAddress(3, start + 2s));
+    for (int i = 0; i < 7; ++i) {
+        report(i, true, start + 2s);
+    }
+    BOOST_TEST(members.callerAddresses({"fd-b"}, start + 2s).size() == 4U); // a single healthy one is left
+    members.recordHealth({"vm-unknown"}, true, start + 2s);
+    BOOST_TEST(members.find({"vm-unknown"}) == nullptr);
+}
+
+BOOST_AUTO_TEST_CASE(an_impaired_vm_leaves_itself_out_of_its_address_answers)
+{
+    Members members = makeMembersWithSeat(7);
+    BOOST_TEST(members.callerAddresses({"fd-a"}, start).size() == 5U);
+    members.setImpaired(true);
+    BOOST_TEST(members.callerAddresses({"fd-a"}, start).size() == 4U);
+    BOOST_TEST(members.overdueSeatHolders(start).size() == 1U);
+    BOOST_TEST(members.overdueSeatHolders(start).at(0).isImpaired);
+}
+
+// Any Vm answers callers that ask for addresses, and most have no seat.
+BOOST_AUTO_TEST_CASE(a_vm_without_a_seat_learns_which_seat_holders_are_impaired)
+{
+    Members members = makeMembers(40);
+    members.recordSeatHolders({{.vm = {"vm-1"}, .reportAge = 100ms, .isImpaired = true}}, start + 1s);
+    BOOST_TEST(members.callerAddresses({"fd-b"}, start + 1s).size() == 3U);
+    members.recordSeatHolders({}, start + 2s);
+    BOOST_TEST(members.callerAddresses({"fd-b"}, start + 2s).size() == 4U);
+}
+
+BOOST_AUTO_TEST_CASE(only_live_seat_holders_with_recent_reports_are_witnesses)
+{
+    Members members = makeMembersWithSeat(40);
+    BOOST_TEST(members.otherHolders(start).empty());                                        // none has reported yet
+    for (const int i : {0, 1, 2, 3, 39}) {                                                  // vm-39 has no seat
+        members.recordReport({"vm-" + std::to_string(i)}, i == 2, 10s, {1, 1}, start + 1s); // vm-2 is leaving
+        members.recordHealth({"vm-" + std::to_string(i)}, i == 1, start + 1s);
+    }
+    const std::vector<HolderHealth> others = members.otherHolders(start + 1s);
+    BOOST_TEST(others.size() == 3U);
+    BOOST_TEST(std::count_if(others.begin(), others.end(), [](const HolderHealth &it) { return it.isImpaired; }) == 1);
+    members.remove({"vm-1"});
+    BOOST_TEST(members.otherHolders(start + 1s).size() == 2U);
+    BOOST_TEST(members.otherHolders(start + 2500ms).empty()); // too old
+    BOOST_TEST(makeMembers(40).otherHolders(start).empty());  // without a seat
+}
+
 // Pattern: hundreds of Vms. When each reported to its failure domain and all seat holders, and these to all Vms, a fleet of 443
 // had some 57,000 status reports to exchange in each period.
 BOOST_AUTO_TEST_CASE(status_reports_of_a_large_fleet_are_exchanged_between_seat_holders_only)
--- a/packages/policy/include/pollenspoke/policy.h
+++ b/packages/policy/include/pollenspoke/policy.h
@@ -20,6 +20,7 @@
 /// - [14] Callers by capacity      (VmCapacity, selectByCapacity())
 /// - [15] Hedged requests          (HedgeOptions, HedgeConditions, LatencyQuantile, HedgePolicy)
 /// - [16] Queue of a service       (FairQueueOptions, QueuedRequest, FairQueue)
+/// - [17] Impaired Vms             (HolderHealth, DiagnosisOptions, VmHealthChange, VmDiagnosis)
 ///
 /// Example:
 /// @code
@@ -31,6 +32,7 @@
 #pragma once
 
 #include <array>
+#include <deque>
 #include <functional>
 #include <pollenspoke/resources.h>
 #include <random>
@@ -902,6 +904,9 @@
     std::optional<TargetPause>
     end(const TargetName &target, AttemptEnd end, Duration latency, TimePoint startedAt, TimePoint now, const RouteName &route = {});
 
+    /// Ends this Vm's pauses of targets that were unreachable or silent, as the fault was its own.
+    void withdrawUnreachable(TimePoint now);
+
     /// Records what an instance announced. A leaving one stays that until a later incarnation is listed. If incarnations are unknown,
     /// it does so until the target is listed again after it was missing or listed as leaving. Of two pauses the later end counts.
     /// Returns true if this is news.
@@ -1653,4 +1658,124 @@
     TimePoint m_forgottenAt;
 };
 
+//-----------------------------------------------------------------------------
+// [17] Impaired Vms
+//-----------------------------------------------------------------------------
+// A Vm whose link is congested, or that is cut off from targets, blames its targets one after the other, and its callers get no answers in
+// time. It notices that many targets fail only here: most of its connection attempts fail, and the other seat holders don't report these
+// targets as unreachable. It then refuses new requests, tells the others, and blames no target. If half of the seat holders or more say
+// that they are impaired, the fault isn't theirs, and they behave like healthy ones.
+
+/// What another live seat holder lately said of itself.
+struct HolderHealth
+{
+    VmName vm;
+    bool isImpaired = false;
+    auto operator<=>(const HolderHealth &) const = default;
+};
+
+/// How an attempt to reach a target ended.
+enum class ReachOutcome {
+    Connected,   // a new connection was opened
+    Unreachable, // it could not be opened
+    Silent,      // no answer in time; says nothing about new connections
+};
+
+struct DiagnosisOptions
+{
+    Duration window = std::chrono::milliseconds(1500);       // attempts that count
+    Duration confirmTime = std::chrono::milliseconds(500);   // for which the signs must last, so that reports of the others arrive
+    std::uint32_t minConnects = 8;                           // connection attempts in the window; fewer prove nothing
+    double failedShare = 0.5;                                // of them; more are a sign
+    std::uint32_t minTargets = 4;                            // that failed here and not elsewhere
+    double reporterShare = 0.25;                             // of the other holders, whose reports show that a target failed elsewhere, too
+    std::uint32_t minReporters = 2;                          // the same as a number; another impaired Vm reports the same targets at first
+    Duration reportTtl = std::chrono::milliseconds(1500);    // validity of what other Vms report
+    Duration shortestTime = std::chrono::seconds(2);         // for which a Vm stays impaired; doubled if it soon is impaired again
+    Duration longestTime = std::chrono::seconds(16);         // upper limit of it
+    Duration relapseTime = std::chrono::seconds(30);         // after a recovery; an impairment within it doubles the time of the next
+    std::size_t recoveryConnects = 4;                        // attempts after which a Vm may count as healthy
+    double connectedShare = 0.75;                            // of its last attempts, which a healthy Vm opened
+    Duration idleTime = std::chrono::seconds(3);             // without attempts, after which it is tried again
+    Duration probeInterval = std::chrono::milliseconds(250); // between the requests that an impaired Vm admits, if they can be repeated
+    Duration unsafeProbeInterval = std::chrono::seconds(1);  // the same of requests that may run at most once
+    auto operator<=>(const DiagnosisOptions &) const = default;
+};
+
+/// Begin or end of an impairment, for logs.
+struct VmHealthChange
+{
+    bool isImpaired = false;
+    std::uint32_t connects = 0; // attempts in the window, or since the impairment began
+    std::uint32_t failedConnects = 0;
+    std::size_t failedTargets = 0;    // in the window
+    std::size_t confirmedTargets = 0; // those of them that failed elsewhere, too
+    std::size_t otherHolders = 0;
+    std::size_t impairedOthers = 0;
+    auto operator<=>(const VmHealthChange &) const = default;
+};
+
+/// Decides whether this Vm is impaired. Without recent reports of other seat holders it can't tell, and stays what it is.
+class VmDiagnosis
+{
+public:
+    using TargetKey = std::pair<ServiceName, TargetName>;
+
+    explicit VmDiagnosis(DiagnosisOptions options = {});
+
+    void noteAttempt(const TargetKey &target, ReachOutcome outcome, TimePoint now);
+    void applyReports(const VmName &vm, const std::map<ServiceName, std::vector<TargetObservation>> &reports, TimePoint now);
+    void setOtherHolders(const std::vector<HolderHealth> &others, TimePoint now); // valid for reportTtl
+
+    /// Decides by what is known; to be called after each of the above. Returns a change, if there is one.
+    std::optional<VmHealthChange> update(TimePoint now);
+
+    bool isImpaired() const { return m_isImpaired; }
+    bool isExcusingTargets(TimePoint now) const; // impaired, and less than half of the seat holders are
+
+    /// Whether a new request is admitted: any unless isExcusingTargets(), else one now and then, as a trial.
+    bool admit(bool isIdempotent, TimePoint now);
+
+private:
+    struct Step // of the window
+    {
+        TimePoint startedAt;
+        std::uint32_t opened = 0;
+        std::uint32_t failed = 0;
+    };
+    struct Reach
+    {
+        TimePoint failedAt;                                           // the default: never
+        std::vector<std::pair<std::size_t, TimePoint>> unreachableAt; // newest report of each other Vm, by its index
+    };
+    struct FailedTargets
+    {
+        std::size_t all = 0;
+        std::size_t confirmed = 0; // by reports of other holders
+    };
+
+    std::size_t indexOf(const VmName &vm);
+    void forgetExpired(TimePoint now);
+    bool areHoldersKnown(TimePoint now) const { return m_holdersKnownAt != TimePoint() && now - m_holdersKnownAt < m_options.reportTtl; }
+    FailedTargets failedTargets(TimePoint now) const;
+    VmHealthChange counts(TimePoint now) const;
+    bool hasSigns(const VmHealthChange &counts) const;
+    bool hasRecovered(TimePoint now) const;
+
+    DiagnosisOptions m_options;
+    std::deque<Step> m_steps; // oldest first
+    std::map<TargetKey, Reach> m_targets;
+    std::map<VmName, std::size_t> m_indices; // of Vms, so that reports are counted without comparing names
+    std::vector<bool> m_isReporter;          // by index: a live seat holder that isn't impaired
+    std::vector<HolderHealth> m_otherHolders;
+    TimePoint m_holdersKnownAt; // the default: never
+    bool m_isImpaired = false;
+    std::optional<TimePoint> m_signsSince;
+    TimePoint m_changedAt;             // begin or end of the newest impairment; the default: there was none
+    Duration m_impairedTime{};         // for which the present impairment lasts at least
+    std::deque<bool> m_recentConnects; // outcomes of the last attempts since the impairment began; true: opened
+    TimePoint m_lastConnectAt;
+    TimePoint m_lastProbeAt;
+};
+
 } // namespace Pollenspoke
--- a/packages/policy/src/balancer.cpp
+++ b/packages/policy/src/balancer.cpp
@@ -358,6 +358,20 @@
     return observations;
 }
 
+void ServiceBalancer::withdrawUnreachable(TimePoint now)
+{
+    for (Member &it : m_members) {
+        if (it.unreachableUntil <= now) {
+            continue;
+        }
+        it.unreachableUntil = {};
+        if (!hasFailed(it)) {
+            it.failures = 0;
+            it.isHalfOpen = false;
+        }
+    }
+}
+
 bool ServiceBalancer::isOpen(const Member &member, TimePoint now) const
 {
     const Target &it = member.target;
--- a/packages/proxy/include/pollenspoke/proxy.h
+++ b/packages/proxy/include/pollenspoke/proxy.h
@@ -175,6 +175,10 @@
     void setLimitSharers(const LimitSharers &sharers); // Vms that share the limits of targets; not set: this Vm is alone
     void applyVms(const std::vector<VmEntry> &vms);    // for the address list and the connection limits
 
+    /// The other seat holders, for VmDiagnosis. The list expires, so call it often.
+    void setOtherHolders(const std::vector<HolderHealth> &others);
+    bool isImpaired() const; // see VmDiagnosis
+
     /// Planned stop, first part: this Vm is no longer advertised but still serves, as the schedule allows. Starts the schedule.
     void beginLeave(const StopSchedule &schedule);
 
--- a/packages/proxy/src/dispatcher.cpp
+++ b/packages/proxy/src/dispatcher.cpp
@@ -457,8 +457,12 @@
     }
     closeExcess(request.resolved, attempt.id);
     const Duration maxConnectTime = milliseconds(m_options.dispatch.connectTimeoutMs);
-    const SystemError ec
-        = co_await connection.connect(attempt.id.address, attempt.startedAt + connectTimeout(plan, maxConnectTime, attempt.startedAt));
+    const Duration connectTime = connectTimeout(plan, maxConnectTime, attempt.startedAt);
+    const SystemError ec = co_await connection.connect(attempt.id.address, attempt.startedAt + connectTime);
+    const bool isCancelled = (co_await net::this_coro::cancellation_state).cancelled() != net::cancellation_type::none;
+    if (!isCancelled && (!ec || connectTime == maxConnectTime)) { // a failure near the request's deadline says little about the link
+        m_targets.noteConnect(attempt.id, !ec);
+    }
     if (ec) {
         co_return AttemptFailure{.reason = RetryReason::ConnectFailed, .end = AttemptEnd::Unreachable};
     }
@@ -998,6 +1002,7 @@
         if (isCancelled(co_await net::this_coro::cancellation_state)) {
             co_return std::nullopt;
         }
+        m_targets.noteConnect(replacement.id, !ec);
         if (ec) {
             logReplacement(request, attempt, replacement.id.target, "unreachable");
             if (!replacement.reservation) {
--- a/packages/proxy/src/proxy.cpp
+++ b/packages/proxy/src/proxy.cpp
@@ -313,6 +313,16 @@
     m_impl->dispatcher.targets().setLimitSharers(sharers);
 }
 
+void Proxy::setOtherHolders(const std::vector<HolderHealth> &others)
+{
+    m_impl->dispatcher.targets().setOtherHolders(others);
+}
+
+bool Proxy::isImpaired() const
+{
+    return m_impl->dispatcher.targets().isImpaired();
+}
+
 void Proxy::applyVms(const std::vector<VmEntry> &vms)
 {
     {
--- a/packages/proxy/src/session.cpp
+++ b/packages/proxy/src/session.cpp
@@ -19,6 +19,7 @@
 constexpr auto lingerTimeout = std::chrono::seconds(1); // for the caller to read the last response before the connection closes
 constexpr std::uint64_t maxDeadlineMs = 3600000;
 constexpr auto bodyMemoryRetryAfter = std::chrono::seconds(1); // an upload usually takes as long
+constexpr auto impairedRetryAfter = milliseconds(200);         // other Vms can serve the caller at once
 
 // The shorter of the route's and the caller's deadline. nullopt if the caller's isn't a number.
 std::optional<milliseconds> deadlineFor(const Route &route, const http::fields &fields, const WireContract &contract)
@@ -325,6 +326,8 @@
     } else if (const auto deadline = deadlineFor(*preliminary->route, header.get(), m_shared.options.wire);
                deadline && !mayStart(receivedAt + *deadline)) {
         refusal = makeStopRefusal(); // before its body is read
+    } else if (!m_shared.dispatcher.targets().admitsRequest(preliminary->isIdempotent)) {
+        refusal = Refusal{.reason = RefusalReason::VmImpaired, .retryAfter = impairedRetryAfter, .closesConnection = true};
     }
     if (!refusal) {
         BodyParser bodyParser(std::move(header));
--- a/packages/proxy/src/target_table.cpp
+++ b/packages/proxy/src/target_table.cpp
@@ -164,6 +164,7 @@
     static const std::vector<TargetObservation> noUpdates;
     const std::lock_guard lock(m_mutex);
     const TimePoint now = m_clock.now();
+    m_diagnosis.applyReports(vm, updates, now);
     for (auto &[name, it] : m_entries) {
         const auto vmUpdates = updates.find(name);
         it.balancer.applyObservations(vm, vmUpdates == updates.end() ? noUpdates : vmUpdates->second, isWhole, now);
@@ -412,6 +413,71 @@
     }
 }
 
+std::optional<VmHealthChange> TargetTable::updateHealth(TimePoint now)
+{
+    const std::optional<VmHealthChange> change = m_diagnosis.update(now);
+    if (change && m_diagnosis.isExcusingTargets(now)) {
+        for (auto &[name, it] : m_entries) {
+            it.balancer.withdrawUnreachable(now);
+            wakeWaiters(it, now);
+        }
+    }
+    return change;
+}
+
+void TargetTable::recordHealthChange(const std::optional<VmHealthChange> &change)
+{
+    if (!change) {
+        return;
+    }
+    m_metrics.setGauge(Gauge::VmImpaired, change->isImpaired ? 1 : 0);
+    logEvent(Event::VmImpaired,
+             {{"impaired", change->isImpaired ? "yes" : "no"},
+              {"connects", std::to_string(change->connects)},
+              {"connects_failed", std::to_string(change->failedConnects)},
+              {"targets_failed", std::to_string(change->failedTargets)},
+              {"targets_failed_elsewhere", std::to_string(change->confirmedTargets)},
+              {"other_holders", std::to_string(change->otherHolders)},
+              {"others_impaired", std::to_string(change->impairedOthers)}},
+             change->isImpaired ? LogLevel::Warning : LogLevel::Info);
+}
+
+void TargetTable::noteConnect(const TargetId &id, bool isOpened)
+{
+    std::optional<VmHealthChange> change;
+    {
+        const std::lock_guard lock(m_mutex);
+        const TimePoint now = m_clock.now();
+        m_diagnosis.noteAttempt({id.service, id.target}, isOpened ? ReachOutcome::Connected : ReachOutcome::Unreachable, now);
+        change = updateHealth(now);
+    }
+    recordHealthChange(change);
+}
+
+void TargetTable::setOtherHolders(const std::vector<HolderHealth> &others)
+{
+    std::optional<VmHealthChange> change;
+    {
+        const std::lock_guard lock(m_mutex);
+        const TimePoint now = m_clock.now();
+        m_diagnosis.setOtherHolders(others, now);
+        change = updateHealth(now);
+    }
+    recordHealthChange(change);
+}
+
+bool TargetTable::isImpaired() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_diagnosis.isImpaired();
+}
+
+bool TargetTable::admitsRequest(bool isIdempotent)
+{
+    const std::lock_guard lock(m_mutex);
+    return m_diagnosis.admit(isIdempotent, m_clock.now());
+}
+
 bool TargetTable::hasOpenTarget(const ServiceName &service) const
 {
     const std::lock_guard lock(m_mutex);
@@ -484,17 +550,25 @@
                                      const std::function<void(std::uint32_t)> &visitOtherRequests)
 {
     std::optional<TargetPause> pause;
+    std::optional<VmHealthChange> change;
     {
         const std::lock_guard lock(m_mutex);
         reservation.m_table = nullptr;
         const TimePoint now = m_clock.now();
+        if (end == AttemptEnd::Silent) {
+            m_diagnosis.noteAttempt({reservation.m_id.service, reservation.m_id.target}, ReachOutcome::Silent, now);
+            change = updateHealth(now);
+        }
+        const bool isUnreached = end == AttemptEnd::Unreachable || end == AttemptEnd::Silent;
+        const AttemptEnd countedEnd = isUnreached && m_diagnosis.isExcusingTargets(now) ? AttemptEnd::Abandoned : end;
         Entry &it = entry(reservation.m_id.service);
         if (it.balancer.isListed(reservation.m_id.instance())) { // else the attempt says nothing about the present instance
-            pause = it.balancer.end(reservation.m_id.target, end, latency, reservation.m_startedAt, now, reservation.m_route);
+            pause = it.balancer.end(reservation.m_id.target, countedEnd, latency, reservation.m_startedAt, now, reservation.m_route);
         }
         visitOtherRequests(it.balancer.inFlightAt(reservation.m_id.target));
         wakeWaiters(it, now);
     }
+    recordHealthChange(change);
     if (pause) {
         logPause(reservation.m_id, *pause);
     }
--- a/packages/proxy/src/target_table.h
+++ b/packages/proxy/src/target_table.h
@@ -93,6 +93,11 @@
     bool admit(const TargetId &id);       // as accepts(); also takes a token of the target's limits. Called last before the first byte
     void returnToken(const TargetId &id); // no byte was sent after admit()
 
+    void noteConnect(const TargetId &id, bool isOpened); // a new connection to the target was opened, or failed to open
+    void setOtherHolders(const std::vector<HolderHealth> &others);
+    bool isImpaired() const;               // see VmDiagnosis
+    bool admitsRequest(bool isIdempotent); // false: this Vm is impaired and refuses the request
+
     bool hasOpenTarget(const ServiceName &service) const; // one that is listed as serving and announced nothing else
 
     void noteRequest(const ServiceName &service);                   // counts a request (not a retry) for the retry budget
@@ -135,6 +140,8 @@
     class QueueEntry;
 
     Entry &entry(const ServiceName &service);
+    std::optional<VmHealthChange> updateHealth(TimePoint now); // with the table locked; to be passed to recordHealthChange() afterwards
+    void recordHealthChange(const std::optional<VmHealthChange> &change);
     std::optional<Target> tryReserve(Entry &entry, const AcquireRequest &request, bool mayOvercommit, TargetReservation &reservation);
     static Duration expectedWait(const Entry &entry, std::size_t waitersAhead, TimePoint now);
     static HedgeConditions hedgeConditions(const Entry &entry, TimePoint now);
@@ -148,6 +155,7 @@
     std::uint64_t m_lastSequence = 0;
     double m_retryShare = 1;
     LimitSharers m_limitSharers;
+    VmDiagnosis m_diagnosis;
 };
 
 } // namespace Pollenspoke
--- a/packages/telemetry/include/pollenspoke/telemetry.h
+++ b/packages/telemetry/include/pollenspoke/telemetry.h
@@ -73,8 +73,9 @@
     DeclarationsVersion, // operator's version of the declarations in force; 0: none, or the platform has no such version
     SeatInUse,           // 1: this Vm has a seat and may use it
     EvacuatedDomains,    // failure domains whose targets get no new requests
+    VmImpaired,          // 1: this Vm fails to reach targets that the other seat holders reach
 };
-inline constexpr std::size_t gaugeCount = static_cast<std::size_t>(Gauge::EvacuatedDomains) + 1;
+inline constexpr std::size_t gaugeCount = static_cast<std::size_t>(Gauge::VmImpaired) + 1;
 
 /// Durations, recorded in histograms that cover 10 us to 100 s.
 enum class Timing {
--- a/packages/telemetry/src/metrics.cpp
+++ b/packages/telemetry/src/metrics.cpp
@@ -69,6 +69,7 @@
     "declarations_version",
     "seat_in_use",
     "evacuated_domains",
+    "vm_impaired",
 };
 static_assert(!counterNames.back().empty() && !gaugeNames.back().empty(), "each counter and gauge has a name");
 constexpr std::array<std::string_view, timingCount> timingNames{"total", "added", "connect", "target", "declarations"};
