Queue: a request that will not get a slot in time is refused at once

The expected wait was computed as if this VM got all slots of the service, although eight or more VMs share them.

expectedQueueWait() uses this VM's part: the greater of the rate at which waiting requests got slots lately and its part of the occupied slots. Until requests have waited for 250 ms, all usable slots count as before.

--- a/packages/policy/include/pollenspoke/policy.h
+++ b/packages/policy/include/pollenspoke/policy.h
@@ -17,7 +17,7 @@
 /// - [11] Fleet-wide token pool    (QuotaPoolOptions, QuotaPool)
 /// - [12] Target roster            (RegistrationNumber, RosterEntry, TargetDeparture, TargetRoster)
 /// - [13] Planned stop             (StopSchedule, PlannedStop)
-/// - [14] Queue of a service       (FairQueueOptions, QueuedRequest, FairQueue)
+/// - [14] Queue of a service       (FairQueueOptions, QueuedRequest, FairQueue, QueueDrain, expectedQueueWait())
 ///
 /// Example:
 /// @code
@@ -29,6 +29,7 @@
 #pragma once
 
 #include <array>
+#include <deque>
 #include <functional>
 #include <pollenspoke/resources.h>
 #include <random>
@@ -881,6 +882,7 @@
     std::uint32_t inFlightAt(const TargetName &target) const; // requests from this Vm
     std::uint32_t freeSlots(TimePoint now) const;             // of targets that are not paused
     std::uint32_t usableSlots(TimePoint now) const;           // the same, including occupied slots
+    double ownSlots(TimePoint now) const;                     // of those: the part that this Vm uses, and the free ones
     std::optional<TimePoint> opensAt(TimePoint now) const;    // when a target accepts requests, not before `now`; empty: none ever does
 
 private:
@@ -1405,6 +1407,11 @@
 // - An account that begins to wait starts at the virtual time of those that wait already. So it isn't put behind the backlog of a hot
 //   account, and it can't save up time without requests.
 // - A request that leaves without a slot costs its account nothing.
+//
+// A request that would not get a slot within its longest wait is refused at once. All Vms use the same slots, so the time until its turn
+// follows from this Vm's part of them, the better of two signs: the part of the occupied slots that its own requests hold, and the rate at
+// which waiting requests got slots lately. Both mean something only once requests have waited for a while. Until then a Vm expects to get
+// all slots, so that a short peak isn't refused.
 
 struct FairQueueOptions
 {
@@ -1482,4 +1489,30 @@
     TimePoint m_forgottenAt;
 };
 
+/// Rate at which the requests that wait at this Vm get slots. Starts count only while requests wait: the others show the traffic, not the
+/// capacity.
+class QueueDrain
+{
+public:
+    void noteWaiting(bool isAnyWaiting, TimePoint now); // after each change of the queue
+    void noteStart(TimePoint now);                      // a request got a slot
+    std::optional<double> rate(TimePoint now) const;    // requests/s; empty: too little time with waiting requests
+
+private:
+    std::optional<TimePoint> m_waitingSince; // for as long as the queue isn't empty
+    std::deque<TimePoint> m_starts;          // since then, within the last second
+};
+
+struct QueueWaitInput
+{
+    std::size_t ahead = 0;             // requests that wait at this Vm and go first
+    Duration usualLatency{};           // of the service
+    std::uint32_t usableSlots = 0;     // of the service, for all Vms
+    double ownSlots = 0;               // this Vm's part of them
+    std::optional<double> drainRate{}; // of this Vm; empty: no evidence yet, and all usable slots count
+};
+
+/// Expected time until a request that begins to wait gets a slot.
+Duration expectedQueueWait(const QueueWaitInput &input);
+
 } // namespace Pollenspoke
--- a/packages/policy/src/balancer.cpp
+++ b/packages/policy/src/balancer.cpp
@@ -695,6 +695,24 @@
     return sumSlots(now, true);
 }
 
+double ServiceBalancer::ownSlots(TimePoint now) const
+{
+    const ChoiceRequest request;
+    const TimePoint floorUntil = pauseFloor(request, now);
+    double n = 0;
+    for (const Member &it : m_members) {
+        if (!isOpen(it, now) || usableAt(it, request, now) > floorUntil) {
+            continue;
+        }
+        const std::uint32_t slots = slotsFor(it, request, now);
+        const std::uint32_t all = inFlight(it, now);
+        const auto own = static_cast<double>(it.requestStarts.size());
+        const double free = all < slots && waitForToken(it, now) <= Duration(0) ? slots - all : 0;
+        n += all > slots ? own * slots / all : own + free;
+    }
+    return n;
+}
+
 std::uint32_t ServiceBalancer::freeSlots(TimePoint now) const
 {
     return sumSlots(now, false);
--- /dev/null
+++ b/packages/policy/tests/test_queue_wait.cpp
@@ -0,0 +1,149 @@
+// Which requests wait for a slot and which are refused at once, in virtual time.
+#include "queue_fleet.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace Pollenspoke;
+using namespace std::chrono_literals;
+
+namespace {
+
+const TimePoint start{1h};
+
+// Requests/s that all targets together can answer.
+double capacityOf(const QueueFleetOptions &options)
+{
+    return static_cast<double>(options.targets) * options.slots / std::chrono::duration<double>(options.workTime).count();
+}
+
+QueueTraffic evenly(const QueueFleetOptions &options, double load, Duration from = 0s, Duration until = 1h)
+{
+    const double each = capacityOf(options) * load / static_cast<double>(options.vms);
+    return {.perSecond = std::vector<double>(options.vms, each), .from = from, .until = until};
+}
+
+QueueFleetResult play(QueueFleetOptions options, const std::vector<QueueTraffic> &traffic, Duration time)
+{
+    QueueFleetResult sum;
+    for (const std::uint64_t seed : {1, 2, 3}) {
+        options.seed = seed;
+        const QueueFleetResult result = QueueFleet(options).run(traffic, time);
+        BOOST_TEST_MESSAGE("part measured: " << options.measuresPart << ", requests " << result.requests << ", served " << result.served
+                                             << ", late " << result.late << ", refused at once " << result.refusedAtOnce << ", later "
+                                             << result.refusedLate);
+        sum.requests += result.requests;
+        sum.served += result.served;
+        sum.late += result.late;
+        sum.refusedAtOnce += result.refusedAtOnce;
+        sum.refusedLate += result.refusedLate;
+    }
+    return sum;
+}
+
+} // namespace
+
+// Each of eight Vms expected to get all slots, so that most refused requests had waited for as long as they may.
+BOOST_AUTO_TEST_CASE(a_burst_of_twice_the_traffic_is_refused_at_once_and_not_after_the_wait)
+{
+    const QueueFleetOptions options{};
+    QueueFleetOptions unmeasured = options;
+    unmeasured.measuresPart = false;
+    const std::vector<QueueTraffic> traffic{evenly(options, 0.8, 0s, 7s), evenly(options, 1.2, 2s, 6s)};
+    const QueueFleetResult before = play(unmeasured, traffic, 8s);
+    const QueueFleetResult after = play(options, traffic, 8s);
+    BOOST_TEST(before.refusedLate > before.refusedAtOnce);
+    BOOST_TEST(after.refusedLate * 5 < after.refusedAtOnce);
+    BOOST_TEST(static_cast<double>(after.served) >= 0.98 * static_cast<double>(before.served));
+}
+
+// A Vm that gets a burst alone has the slots that the others leave free. Its part before the burst says nothing about that.
+BOOST_AUTO_TEST_CASE(a_burst_at_one_vm_beside_idle_ones_is_served)
+{
+    const QueueFleetOptions options{};
+    QueueFleetOptions unmeasured = options;
+    unmeasured.measuresPart = false;
+    QueueTraffic alone{.perSecond = std::vector<double>(options.vms, 0), .from = 1s, .until = 4s};
+    alone.perSecond[3] = capacityOf(options) * 0.8;
+    const std::vector<QueueTraffic> traffic{evenly(options, 0.05, 0s, 5s), alone};
+    const QueueFleetResult before = play(unmeasured, traffic, 6s);
+    const QueueFleetResult after = play(options, traffic, 6s);
+    BOOST_TEST(after.refusedAtOnce <= before.refusedAtOnce);
+    BOOST_TEST(after.served >= before.served - 2);
+}
+
+// A short peak ends before the queue is full: refusing at once would lose what a wait serves.
+BOOST_AUTO_TEST_CASE(a_short_peak_waits_and_is_served)
+{
+    const QueueFleetOptions options{};
+    const std::vector<QueueTraffic> traffic{evenly(options, 0.6, 0s, 3s), evenly(options, 1.2, 2s, 2300ms)};
+    const QueueFleetResult result = play(options, traffic, 4s);
+    BOOST_TEST(result.refusedAtOnce * 200 < result.requests);
+    BOOST_TEST(static_cast<double>(result.served) >= 0.99 * static_cast<double>(result.requests));
+}
+
+// At 90 % load queues are short and end often, which must not look like a small part.
+BOOST_AUTO_TEST_CASE(a_load_of_90_percent_is_not_refused_at_once)
+{
+    const QueueFleetOptions options{};
+    const QueueFleetResult result = play(options, {evenly(options, 0.9, 0s, 7s)}, 8s);
+    BOOST_TEST(result.refusedAtOnce * 200 < result.requests);
+}
+
+BOOST_AUTO_TEST_CASE(without_evidence_a_vm_expects_all_slots)
+{
+    QueueDrain drain;
+    BOOST_TEST(!drain.rate(start));
+    drain.noteStart(start); // nothing waits
+    drain.noteWaiting(true, start);
+    BOOST_TEST(!drain.rate(start + 249ms));
+    BOOST_TEST((expectedQueueWait({.ahead = 9, .usualLatency = 200ms, .usableSlots = 20, .ownSlots = 1}) == 100ms));
+    BOOST_TEST((expectedQueueWait({.ahead = 0, .usualLatency = 200ms, .usableSlots = 0}) == 200ms)); // no slot is usable now
+    drain.noteWaiting(true, start + 100ms);                                                          // still waiting, not again
+    BOOST_TEST(drain.rate(start + 100ms).value() == 0.0);
+    drain.noteWaiting(false, start + 150ms);
+    BOOST_TEST(!drain.rate(start + 300ms));
+}
+
+BOOST_AUTO_TEST_CASE(the_rate_is_that_of_the_last_second_with_waiting_requests)
+{
+    QueueDrain drain;
+    drain.noteWaiting(true, start);
+    for (int i = 1; i <= 40; ++i) {
+        drain.noteStart(start + 50ms * i);
+    }
+    BOOST_TEST(drain.rate(start + 500ms + 1500ms).value() == 20.0, boost::test_tools::tolerance(0.06));
+    BOOST_TEST(drain.rate(start + 2500ms).value() == 10.0, boost::test_tools::tolerance(0.11));
+    BOOST_TEST(drain.rate(start + 4s).value() == 0.0);
+}
+
+// The better of the two signs counts: when in doubt, a request waits.
+BOOST_AUTO_TEST_CASE(a_vm_expects_its_part_of_the_slots_or_what_it_got_lately)
+{
+    const QueueWaitInput input{.ahead = 8, .usualLatency = 200ms, .usableSlots = 80, .ownSlots = 10, .drainRate = 0.0};
+    BOOST_TEST((expectedQueueWait(input) == 220ms)); // 8 x 1.25 + 1 requests at 50/s
+    QueueWaitInput faster = input;
+    faster.drainRate = 100;
+    BOOST_TEST((expectedQueueWait(faster) == 110ms));
+    QueueWaitInput slower = input;
+    slower.drainRate = 10;
+    BOOST_TEST((expectedQueueWait(slower) == 220ms));
+    QueueWaitInput none = input;
+    none.ownSlots = 0; // all slots are held by others; the next one to be released may still be had
+    none.ahead = 0;
+    BOOST_TEST((expectedQueueWait(none) == 200ms));
+}
+
+// The slots of a target that others fill up don't count as this Vm's.
+BOOST_AUTO_TEST_CASE(own_slots_are_the_part_of_the_slots_in_use_and_those_that_are_free)
+{
+    Generator generator(1);
+    ServiceBalancer balancer;
+    balancer.setTargets({{.name = {"t0"}, .slots = 4}, {.name = {"t1"}, .slots = 4}}, start);
+    BOOST_TEST(balancer.ownSlots(start) == 8.0); // all are free
+    balancer.applyObservations({"other"}, {{.target = {"t0"}, .inFlight = 3}, {.target = {"t1"}, .inFlight = 4}}, true, start);
+    BOOST_TEST(balancer.ownSlots(start) == 1.0);
+    BOOST_TEST(balancer.choose({}, start, generator)->name.value == "t0");
+    BOOST_TEST(balancer.ownSlots(start) == 1.0);
+    balancer.applyObservations({"other"}, {{.target = {"t0"}, .inFlight = 7}}, true, start);
+    BOOST_TEST(balancer.ownSlots(start) == 0.5 + 4.0); // t0 holds 8 for 4 slots, t1 is free
+}
--- a/packages/proxy/src/target_table.cpp
+++ b/packages/proxy/src/target_table.cpp
@@ -105,6 +105,7 @@
         const TimePoint now = m_table.m_clock.now();
         entry.queue.remove(sequence(), now); // unless it has started
         entry.waiters.erase(sequence());
+        entry.drain.noteWaiting(!entry.queue.empty(), now);
         wakeWaiters(entry, now);
     }
     QueueEntry(const QueueEntry &) = delete;
@@ -230,8 +231,12 @@
 
 Duration TargetTable::expectedWait(const Entry &entry, std::size_t waitersAhead, TimePoint now)
 {
-    const std::uint32_t slots = std::max<std::uint32_t>(entry.balancer.usableSlots(now), 1);
-    return std::max<Duration>(entry.balancer.usualLatency() * (waitersAhead + 1) / slots, entry.balancer.limitedWait(waitersAhead, now));
+    const Duration wait = expectedQueueWait({.ahead = waitersAhead,
+                                             .usualLatency = entry.balancer.usualLatency(),
+                                             .usableSlots = entry.balancer.usableSlots(now),
+                                             .ownSlots = entry.balancer.ownSlots(now),
+                                             .drainRate = entry.drain.rate(now)});
+    return std::max(wait, entry.balancer.limitedWait(waitersAhead, now));
 }
 
 void TargetTable::wakeWaiters(Entry &entry, TimePoint now)
@@ -296,6 +301,7 @@
             if (isAtFront || hasWaitedLong) {
                 if (std::optional<Target> target = tryReserve(it, request, hasWaitedLong && request.mayOvercommit, reservation)) {
                     queueEntry ? it.queue.start(queued.sequence, now) : it.queue.noteStart(queued, now);
+                    it.drain.noteStart(now);
                     co_return std::move(*target);
                 }
             }
@@ -307,6 +313,7 @@
                 auto waiter = std::make_shared<Waiter>(Waiter{queued.sequence, net::steady_timer(executor)});
                 it.queue.push(queued, now);
                 it.waiters.emplace(queued.sequence, waiter);
+                it.drain.noteWaiting(true, now);
                 queueEntry.emplace(*this, request.service, std::move(waiter));
             }
         }
--- a/packages/proxy/src/target_table.h
+++ b/packages/proxy/src/target_table.h
@@ -122,6 +122,7 @@
         ServiceBalancer balancer;
         RetryBudget budget;
         FairQueue queue;
+        QueueDrain drain;
         std::map<std::uint64_t, std::shared_ptr<Waiter>> waiters; // of the requests in the queue, by sequence
     };
     class QueueEntry;
