--- a/packages/proxy/src/target_table.h
+++ b/packages/proxy/src/target_table.h
@@ -135,6 +135,7 @@
         RetryBudget budget;
         HedgePolicy hedge;
         FairQueue queue;
+        QueueDrain drain;
         std::map<std::uint64_t, std::shared_ptr<Waiter>> waiters; // of the requests in the queue, by sequence
     };
     class QueueEntry;
