Policy: demand view, admission by rank and schedule of returns

No VM knew what waits at the others, so each queue decided by itself: with 100 urgent requests/s at one of 8 VMs and 900/s of the least urgent kind at the others, 0.30 of the urgent ones were served (virtual time, 486 slots, 1.2 s of work). Refused callers all got the same Retry-After. Adds DemandCounter, DemandView, AdmissionLevel and ReturnSchedule as pure decisions with constant memory.

--- a/benchmarks/slopes.cpp
+++ b/benchmarks/slopes.cpp
@@ -1,6 +1,7 @@
 // Measures how memory and CPU time of one Vm grow with the size of the configuration, up to 9900 accounts, 2000 routes and 87
 // services. Uses fixed seeds, counts heap bytes through operator new and delete, and prints Markdown tables for
 // docs/measurements/slopes.md.
+#include <algorithm>
 #include <atomic>
 #include <cstdlib>
 #include <iomanip>
@@ -155,6 +156,65 @@
               << (sum == 3 * iterations ? "yes" : "no") << " |\n";
 }
 
+// Times each call by itself: a decision must not be slow now and then either.
+template<typename Step>
+void printQuantiles(const char *name, std::size_t vms, Step step)
+{
+    std::vector<double> us;
+    us.reserve(timedIterations);
+    for (std::size_t i = 0; i < timedIterations; ++i) {
+        const SteadyTime start = std::chrono::steady_clock::now();
+        step(i);
+        us.push_back(secondsSince(start) * 1e6);
+    }
+    std::sort(us.begin(), us.end());
+    std::cout << "| " << name << " | " << vms << " | " << us[us.size() / 2] << " | " << us[us.size() * 99 / 100] << " |\n";
+}
+
+// Decisions under load at one Vm: 8 ranks, 73 accounts, and reports of all other seat holders.
+void measureDemand(std::size_t vms)
+{
+    DemandCounter counter;
+    DemandView view;
+    AdmissionLevel level;
+    ReturnSchedule returns;
+    std::vector<VmName> names;
+    for (std::size_t i = 0; i < vms; ++i) {
+        names.push_back({numberedName("vm-", i)});
+    }
+    view.setVms(names.front(), names);
+    std::vector<AccountName> accounts;
+    for (std::size_t i = 0; i < 73; ++i) {
+        accounts.push_back({numberedName("account-", i)});
+    }
+    TimePoint now{std::chrono::hours(1)};
+    const auto rankOf = [](std::size_t i) { return static_cast<std::uint32_t>(i % maxDemandRanks); };
+    const std::string id = "0123456789abcdef";
+    printQuantiles("count an arrival", vms, [&](std::size_t i) {
+        now += std::chrono::microseconds(500);
+        counter.noteArrival(rankOf(i), accounts[i * 31 % accounts.size()], now);
+    });
+    const DemandReport part = counter.report(now);
+    printQuantiles("take a report", vms, [&](std::size_t i) {
+        now += std::chrono::microseconds(200);
+        DemandReport report = part;
+        report.run = 1;
+        report.measuredAt = now.time_since_epoch();
+        view.apply(names[i % vms], std::move(report), now);
+    });
+    printQuantiles("compute the level", vms, [&](std::size_t i) {
+        counter.noteArrival(rankOf(i), accounts[i % accounts.size()], now);
+        counter.noteRefused(rankOf(i), now);
+        level.update(view.ranks(counter.report(now), now), now + std::chrono::seconds(i));
+    });
+    printQuantiles("decide whether a request may wait", vms, [&](std::size_t i) { level.mayWait(rankOf(i), id); });
+    printQuantiles("schedule a return", vms, [&](std::size_t i) {
+        counter.noteRefused(rankOf(i), now);
+        const std::vector<RankDemand> ranks = view.ranks(counter.report(now), now);
+        returns.refuse({.rank = rankOf(i), .id = id, .waitingAhead = ranks.front().waiting, .startsPerSecond = 400}, now);
+    });
+}
+
 } // namespace
 
 int main()
@@ -175,5 +235,9 @@
     for (const std::size_t it : {40, 460}) {
         measureAddressOrder(it);
     }
+    std::cout << "\n| decision under load | seat holders | median us | 0.99 quantile us |\n| --- | --- | --- | --- |\n";
+    for (const std::size_t it : {8, 60}) {
+        measureDemand(it);
+    }
     return 0;
 }
--- a/packages/policy/include/pollenspoke/policy.h
+++ b/packages/policy/include/pollenspoke/policy.h
@@ -20,6 +20,9 @@
 /// - [14] Callers by capacity      (VmCapacity, selectByCapacity())
 /// - [15] Hedged requests          (HedgeOptions, HedgeConditions, LatencyQuantile, HedgePolicy)
 /// - [16] Queue of a service       (FairQueueOptions, QueuedRequest, FairQueue)
+/// - [17] Demand view              (DemandReport, DemandCounter, DemandView)
+/// - [18] Admission by rank        (AdmissionBoundary, AdmissionLevel)
+/// - [19] Return of refused callers (RefusedRequest, ReturnTime, ReturnSchedule)
 ///
 /// Example:
 /// @code
@@ -1651,6 +1654,224 @@
     std::map<std::uint64_t, QueuedRequest> m_requests;
     std::set<std::pair<TimePoint, std::uint64_t>> m_startBys; // of the timely requests that have an objective
     TimePoint m_forgottenAt;
+
+// [17] Demand view
+//-----------------------------------------------------------------------------
+
+inline constexpr std::size_t maxDemandRanks = 8;    // per service; further ranks are counted as part of the last one
+inline constexpr std::size_t maxDemandAccounts = 4; // per service: the largest ones
+
+/// Demand of one rank for one service.
+struct RankDemand
+{
+    std::uint32_t rank = 0; // 0 is the most urgent
+    double arrivals = 0;    // requests/s, without retries
+    double waiting = 0;     // requests that wait for a slot
+    double refused = 0;     // requests/s refused for lack of capacity
+    double started = 0;     // requests/s that got their first slot
+    auto operator<=>(const RankDemand &) const = default;
+};
+
+struct AccountDemand
+{
+    AccountName account;
+    double arrivals = 0; // requests/s, without retries
+    auto operator<=>(const AccountDemand &) const = default;
+};
+
+/// Demand for one service, at one Vm or summed over several. All rates are over the last second.
+struct DemandReport
+{
+    std::vector<RankDemand> ranks;       // in ascending order of rank
+    std::vector<AccountDemand> accounts; // largest first
+    std::uint64_t run = 0;               // random number of the sender's process, not 0
+    Duration measuredAt{};               // by the sender's steady clock
+    auto operator<=>(const DemandReport &) const = default;
+
+    bool isEmpty() const { return ranks.empty() && accounts.empty(); }
+};
+
+bool isUnderPressure(std::span<const RankDemand> ranks); // a request waits or was refused within the last second
+
+/// Number of events within the last second, in steps of 50 ms.
+class SecondWindow
+{
+public:
+    static constexpr std::size_t stepCount = 20;
+    static constexpr Duration step = std::chrono::milliseconds(50);
+
+    void add() { ++m_steps[m_newest], ++m_total; }
+    void add(const SecondWindow &other); // both were advanced at the same times
+    void advance();                      // starts the next step and drops the oldest
+    std::uint32_t total() const { return m_total; }
+
+private:
+    std::array<std::uint32_t, stepCount> m_steps{};
+    std::size_t m_newest = 0;
+    std::uint32_t m_total = 0;
+};
+
+/// Counts one service's requests on this Vm by rank, and by account those of the largest accounts. Memory is constant: accounts are kept
+/// by the space-saving method, which finds each one that has more than a sixteenth of the arrivals.
+class DemandCounter
+{
+public:
+    void noteArrival(std::uint32_t rank, const AccountName &account, TimePoint now);
+    void noteStarted(std::uint32_t rank, TimePoint now);
+    void noteRefused(std::uint32_t rank, TimePoint now);
+    void noteWaiting(std::uint32_t rank, TimePoint now);
+    void noteWaitEnded(std::uint32_t rank, TimePoint now);
+
+    DemandReport report(TimePoint now); // `run` is left 0
+
+private:
+    static constexpr std::size_t accountSlots = 16;
+
+    struct Rank
+    {
+        std::uint32_t rank = 0;
+        std::uint32_t waiting = 0;
+        SecondWindow arrivals;
+        SecondWindow refused;
+        SecondWindow started;
+    };
+    struct Account
+    {
+        AccountName name;
+        SecondWindow arrivals;
+        SecondWindow inherited; // part of `arrivals` that belongs to the account which had this place before
+    };
+
+    void advance(TimePoint now);
+    void dropIdleRanks();
+    Rank &rankOf(std::uint32_t rank);
+    double perSecond(std::uint32_t n, TimePoint now) const;
+
+    std::vector<Rank> m_ranks; // in ascending order
+    std::vector<Account> m_accounts;
+    TimePoint m_stepAt; // start of the current step
+};
+
+/// What this Vm knows of the demand for one service at the other seat holders.
+class DemandView
+{
+public:
+    static constexpr Duration maxAge = std::chrono::milliseconds(1500); // older parts are not used
+    static constexpr double maxNumber = 1e6;                            // larger ones are impossible
+
+    void setVms(const VmName &self, const std::vector<VmName> &vms); // parts of others are dropped
+
+    /// Takes the part of another Vm. False, and nothing is taken, if the Vm isn't a known seat holder, a number is impossible, or the
+    /// report is older than one taken before, as happens to datagrams that were queued while this process was suspended.
+    bool apply(const VmName &vm, DemandReport report, TimePoint now);
+    std::size_t parts(TimePoint now) const; // usable parts of other Vms
+
+    /// Sums over `own` and the usable parts of other Vms.
+    std::vector<RankDemand> ranks(const DemandReport &own, TimePoint now) const;
+    std::vector<AccountDemand> accounts(const DemandReport &own, TimePoint now) const; // largest first
+
+private:
+    struct Part
+    {
+        DemandReport report;
+        TimePoint receivedAt;
+        Duration smallestDelay{}; // between measuring and receiving, plus the unknown difference of the two clocks
+    };
+
+    bool isUsable(const Part &part, TimePoint now) const { return now - part.receivedAt <= maxAge; }
+
+    std::set<VmName> m_vms; // without this one
+    std::map<VmName, Part> m_parts;
+};
+
+//-----------------------------------------------------------------------------
+// [18] Admission by rank
+//-----------------------------------------------------------------------------
+
+/// Requests of more urgent ranks than `rank` may wait for a slot, and `share` of those of `rank`.
+struct AdmissionBoundary
+{
+    std::uint32_t rank = 0;
+    double share = 0; // 0 to 1
+    auto operator<=>(const AdmissionBoundary &) const = default;
+};
+
+/// Which requests for one service may wait for a slot while there are more than its targets can serve. It applies to requests that find
+/// no free slot only, so that no slot is left unused because of it. The most urgent rank with demand may always wait.
+///
+/// Each Vm computes the boundary from the same sum of the demand. It depends on nothing else, except that it is relaxed by one rank per
+/// step at most, so Vms with the same view have the same boundary as soon as it stands still.
+class AdmissionLevel
+{
+public:
+    static constexpr Duration stepTime = std::chrono::milliseconds(250);
+    static constexpr double admittedLoad = 0.95; // of the starts/s; the rest keeps the queue of those admitted short
+    static constexpr double shareStep = 0.125;   // smallest change of the share, above the noise of the counts
+
+    bool isDue(TimePoint now) const { return now - m_steppedAt >= stepTime; }
+    bool update(std::span<const RankDemand> demand, TimePoint now); // when due; returns true if the boundary changed
+
+    /// The same answer for the same request id on every Vm with this boundary.
+    bool mayWait(std::uint32_t rank, std::string_view requestId) const;
+    const std::optional<AdmissionBoundary> &boundary() const { return m_boundary; } // empty: all may wait
+
+private:
+    std::optional<AdmissionBoundary> m_boundary;
+    TimePoint m_steppedAt;
+};
+
+//-----------------------------------------------------------------------------
+// [19] Return of refused callers
+//-----------------------------------------------------------------------------
+
+/// A request that is refused for lack of capacity, and what is known of its service.
+struct RefusedRequest
+{
+    std::uint32_t rank = 0;
+    std::string_view id;
+    double waitingAhead = 0;    // requests that wait, of this or a more urgent rank, over the fleet
+    double startsPerSecond = 0; // that the service is capable of, over the fleet
+    double share = 1;           // part of the fleet's refusals that are this Vm's, 0 to 1
+    Duration opensIn{};         // time until a target accepts requests, as targets announced
+    Duration left{};            // time until the request's deadline
+};
+
+struct ReturnTime
+{
+    Duration retryAfter{};
+    Duration capacityIn{};         // time until there may be capacity; longer than `retryAfter` if that is cut
+    bool isBeforeDeadline = false; // there may be capacity before the request's deadline
+    auto operator<=>(const ReturnTime &) const = default;
+};
+
+/// When the callers of refused requests should come back. Each refusal books the next place in this Vm's part of the starts, after the
+/// more urgent ones and after those of its own rank, so that callers refused in the same moment come back one by one.
+class ReturnSchedule
+{
+public:
+    static constexpr Duration shortest = std::chrono::milliseconds(100);
+    static constexpr Duration longest = std::chrono::seconds(5); // counted from `opensIn` if that is longer
+
+    ReturnTime refuse(const RefusedRequest &request, TimePoint now);
+    std::size_t booked(std::uint32_t rank, TimePoint now); // of this or a more urgent rank, not back yet
+
+private:
+    static constexpr Duration step = std::chrono::milliseconds(100);
+    static constexpr std::size_t stepCount = 52; // more than `longest`
+
+    struct Bookings
+    {
+        std::uint32_t rank = 0;
+        std::array<std::uint32_t, stepCount> steps{}; // ring buffer; m_newest is the current step
+        std::uint32_t total = 0;
+    };
+
+    void advance(TimePoint now);
+    Bookings &bookingsOf(std::uint32_t rank);
+
+    std::vector<Bookings> m_ranks; // in ascending order
+    std::size_t m_newest = 0;
+    TimePoint m_stepAt;
 };
 
 } // namespace Pollenspoke
