Proxy, fleet: exchange demand, admission by rank, spread returns

TargetTable counts arrivals, starts, waiting and refused requests by rank, and the largest accounts. Seat holders exchange the numbers in their status reports (field demand of ServiceReport): with the full report, and every 200 ms while requests wait or are refused; without pressure, no report is sent because of them. The level is used where dispatch.admission_by_rank is set or the platform's contracts name pressure, for requests that found no free slot. Retry-After of queue_full and target_declined comes from ReturnSchedule; a pause that the targets announced is passed on in full, and the limit of 5 s applies to what comes after it. A refusal without capacity before the deadline says so in the problem document. New: event 4009, four counters, gauge admission_boundary.

--- a/apps/pollenspoked/main.cpp
+++ b/apps/pollenspoked/main.cpp
@@ -77,6 +77,7 @@
     FleetOptions options = shared.fleet;
     options.proxy = settings.proxy;
     options.proxy.wire = platformContract();
+    applyContracts(shared.contracts, options.proxy);
     FleetVm vm(options, platformAdapter(shared.store));
     if (const Result<void> started = vm.start(); !started) {
         return reportFailure(started.error(), Event::ListenFailed, ListenFailure);
--- a/apps/pollenspoked/settings.cpp
+++ b/apps/pollenspoked/settings.cpp
@@ -73,6 +73,25 @@
         return *address;
     }
 
+    std::vector<std::string> readTexts(const std::string &key)
+    {
+        std::vector<std::string> texts;
+        const YAML::Node node = readNode(key, false);
+        if (!node.IsDefined()) {
+            return texts;
+        }
+        if (!node.IsSequence()) {
+            fail(ErrorCode::WrongType, node, pathOf(key), "must be a list of strings");
+        }
+        for (const auto &it : node) {
+            if (!it.IsScalar() || it.Scalar().empty()) {
+                fail(ErrorCode::WrongType, it, pathOf(key), "must be a list of non-empty strings");
+            }
+            texts.push_back(it.Scalar());
+        }
+        return texts;
+    }
+
     template<typename Number>
     void readNumber(const std::string &key, Number &value, std::uint64_t lowest, std::uint64_t highest)
     {
@@ -224,7 +243,7 @@
     } else if (kind == 1) {
         settings.platform = HttpPlatform{.address = section.readUrl("url")};
     } else {
-        settings.platform = SharedPlatform{.store = section.readAddress("store")};
+        settings.platform = SharedPlatform{.store = section.readAddress("store"), .contracts = section.readTexts("contracts")};
     }
     section.rejectUnknownKeys();
 }
@@ -298,6 +317,7 @@
     section.readNumber("floor_percent", dispatch.balancer.floorPercent, 0, 100);
     section.readNumber("hedge_percent", dispatch.hedge.percent, 0, 20);
     section.readFlag("fair_shares", dispatch.hasFairShares);
+    section.readFlag("admission_by_rank", dispatch.admissionByRank);
     section.rejectUnknownKeys();
 }
 
--- a/apps/pollenspoked/settings.h
+++ b/apps/pollenspoked/settings.h
@@ -22,7 +22,8 @@
 struct SharedPlatform
 {
     Address store;
-    FleetOptions fleet; // fleet.proxy is set from Settings::proxy at start
+    std::vector<std::string> contracts; // names that the platform gives its conventions; interpreted in platform/
+    FleetOptions fleet;                 // fleet.proxy is set from Settings::proxy at start
 };
 
 struct Settings
--- a/apps/tests/test_settings.cpp
+++ b/apps/tests/test_settings.cpp
@@ -202,3 +202,37 @@
     BOOST_TEST((errorOf(shared + "fleet: {evacuation_ms: 3600001}\n").code == ErrorCode::OutOfRange));
     BOOST_TEST((errorOf(shared + "fleet: {evacuation_ms: soon}\n").code == ErrorCode::WrongType));
 }
+
+BOOST_AUTO_TEST_CASE(admission_by_rank_is_off_unless_set)
+{
+    BOOST_TEST(!load(vmAndListen + httpPlatform)->proxy.dispatch.admissionByRank);
+    BOOST_TEST(load(vmAndListen + httpPlatform + "dispatch: {admission_by_rank: true}\n")->proxy.dispatch.admissionByRank);
+    BOOST_TEST(!load(vmAndListen + httpPlatform + "dispatch: {admission_by_rank: false}\n")->proxy.dispatch.admissionByRank);
+    const Error error = errorOf(vmAndListen + httpPlatform + "dispatch: {admission_by_rank: 3}\n");
+    BOOST_TEST((error.code == ErrorCode::WrongType));
+    BOOST_TEST(error.path.ends_with("dispatch.admission_by_rank"), error.path);
+}
+
+BOOST_AUTO_TEST_CASE(contracts_of_a_shared_platform_are_kept_as_texts)
+{
+    const auto shared = [](const std::string &contracts) {
+        return "vm: {name: vm-1, failure_domain: fd-a}\n"
+               "listen: {callers: \"127.0.0.1:8080\", readiness: \"127.0.0.1:8081\", addresses: \"127.0.0.1:8082\", "
+               "peers: \"127.0.0.1:8083\"}\n"
+               "platform: {kind: shared, store: \"10.0.0.5:9000\""
+            + contracts + "}\n";
+    };
+    const auto contractsOf = [](const Result<Settings> &settings) {
+        BOOST_REQUIRE(settings);
+        return std::get<SharedPlatform>(settings->platform).contracts;
+    };
+    BOOST_TEST(contractsOf(load(shared(""))).empty());
+    BOOST_TEST(contractsOf(load(shared(", contracts: []"))).empty());
+    const std::vector<std::string> expected{"one", "two-b"};
+    BOOST_TEST(contractsOf(load(shared(", contracts: [one,two-b]"))) == expected);
+    BOOST_TEST(!load(shared(", contracts: [one]"))->proxy.dispatch.admissionByRank); // only the platform's adapter knows the names
+    BOOST_TEST((errorOf(shared(", contracts: one")).code == ErrorCode::WrongType));
+    BOOST_TEST((errorOf(shared(", contracts: [{a: b}]")).code == ErrorCode::WrongType));
+    BOOST_TEST((errorOf(vmAndListen + "platform: {kind: http, url: \"http://10.0.0.5:9000\", contracts: [one]}\n").code
+                == ErrorCode::UnknownField));
+}
--- a/deploy/sample-settings.sed
+++ b/deploy/sample-settings.sed
@@ -20,3 +20,4 @@
 s/{{bounds\.evacuation-ms}}/5000/
 s/{{bounds\.warmup-overage}}/1.5/
 s/{{bounds\.warmup-slack}}/8/
+s/{{contracts}}/pressure/
--- a/packages/base/include/pollenspoke/base.h
+++ b/packages/base/include/pollenspoke/base.h
@@ -260,6 +260,7 @@
     TargetAnnounced         = 4006, // a target said in an answer that it is leaving, for how long it wants no requests, or how many a second it takes
     DomainEvacuated         = 4007, // nothing more is sent to the targets of a failure domain; with the age and position of the entry
     DomainReturned          = 4008, // the evacuation of a failure domain was withdrawn; with the age and position of the withdrawal
+    AdmissionLevelChanged   = 4009, // which ranks of a service's requests may wait for a slot; with the numbers it follows from
     QuotaReclaimed          = 5001, // the quota grant of a lost Vm was reclaimed
     QuotaDenied             = 5002, // no tokens left locally, and none could be borrowed
     PeerSuspected           = 6001, // a peer stopped responding
--- a/packages/base/src/events.cpp
+++ b/packages/base/src/events.cpp
@@ -48,6 +48,7 @@
     EventRow{Event::TargetAnnounced, "target_announced"},
     EventRow{Event::DomainEvacuated, "domain_evacuated"},
     EventRow{Event::DomainReturned, "domain_returned"},
+    EventRow{Event::AdmissionLevelChanged, "admission_level_changed"},
     EventRow{Event::QuotaReclaimed, "quota_reclaimed"},
     EventRow{Event::QuotaDenied, "quota_denied"},
     EventRow{Event::PeerSuspected, "peer_suspected"},
--- a/packages/fleet/src/fleet_vm.cpp
+++ b/packages/fleet/src/fleet_vm.cpp
@@ -97,7 +97,10 @@
     net::awaitable<void> applyRosterExpiry();
     net::awaitable<void> reportStatus();
     net::awaitable<void> reportTargets();
-    void sendReport(const std::vector<const Member *> &receivers, std::optional<TargetUpdates> reports, bool isFullReport = true);
+    void sendReport(const std::vector<const Member *> &receivers,
+                    std::optional<TargetUpdates> reports,
+                    bool isFullReport = true,
+                    DemandUpdates demand = {});
     void handleMessage(const VmName &sender, const LinkMessage &message, const net::ip::udp::endpoint &from);
     net::awaitable<void> deregisterLostVms();
     net::awaitable<void> removeRegistration(VmName vm, std::uint64_t revision, std::string_view cause);
@@ -849,7 +852,10 @@
 // Reports
 //-----------------------------------------------------------------------------
 
-void FleetVm::Impl::sendReport(const std::vector<const Member *> &receivers, std::optional<TargetUpdates> reports, bool isFullReport)
+void FleetVm::Impl::sendReport(const std::vector<const Member *> &receivers,
+                               std::optional<TargetUpdates> reports,
+                               bool isFullReport,
+                               DemandUpdates demand)
 {
     // Before it became a deputy, a Vm without a seat had the store's answers from others.
     const std::optional<TimePoint> reachableSince = feed.deputySince() ? feed.deputySince() : storeReachableSince;
@@ -860,7 +866,8 @@
                                   ? std::max<Duration>(clock.now() - *reachableSince, std::chrono::milliseconds(1))
                                   : Duration(0),
                               .targetReports = std::move(reports),
-                              .isFullReport = isFullReport};
+                              .isFullReport = isFullReport,
+                              .demand = std::move(demand)};
     const std::string bytes = encodeDatagram(options.proxy.vm, status);
     for (const Member *it : receivers) {
         link.send(toDatagramEndpoint(it->registration.peers), bytes);
@@ -896,14 +903,18 @@
                 (members.isInOwnDomain(*member) ? near : distant).push_back(member);
             }
         }
+        DemandUpdates demand = proxy.demandUpdates();
+        if (!holdsSeat()) {
+            demand.clear(); // the view is the sum over the seat holders
+        }
         TargetReportSchedule::Reports reports
-            = reportSchedule.next(proxy.targetUpdates(), {.near = near.size(), .distant = distant.size()}, isFullReport);
+            = reportSchedule.next(proxy.targetUpdates(), demand, {.near = near.size(), .distant = distant.size()}, isFullReport);
         lastFullReportAt = isFullReport ? now : lastFullReportAt;
-        if (!reports.near.empty()) {
-            sendReport(near, std::move(reports.near), isFullReport);
+        if (!reports.near.empty() || !reports.nearDemand.empty()) {
+            sendReport(near, std::move(reports.near), isFullReport, std::move(reports.nearDemand));
         }
-        if (!reports.distant.empty()) {
-            sendReport(distant, std::move(reports.distant), isFullReport);
+        if (!reports.distant.empty() || !reports.distantDemand.empty()) {
+            sendReport(distant, std::move(reports.distant), isFullReport, std::move(reports.distantDemand));
         }
     }
 }
@@ -916,6 +927,7 @@
         checkLocalOutage();
         if (status->targetReports) {
             proxy.applyTargetUpdates(sender, *status->targetReports, status->isFullReport);
+            proxy.applyDemand(sender, status->demand);
         }
     } else if (const auto *tokenRequest = std::get_if<TokenRequest>(&message)) {
         link.send(from, encodeDatagram(options.proxy.vm, admission.answerRequest(*tokenRequest)));
--- a/packages/fleet/src/link.cpp
+++ b/packages/fleet/src/link.cpp
@@ -26,6 +26,25 @@
     return static_cast<std::uint32_t>(std::max<std::int64_t>(std::chrono::duration_cast<milliseconds>(duration).count(), 0));
 }
 
+void encode(fleet::Demand &demand, const DemandReport &report)
+{
+    for (const RankDemand &it : report.ranks) {
+        fleet::RankDemand &rank = *demand.add_ranks();
+        rank.set_rank(it.rank);
+        rank.set_arrivals(static_cast<float>(it.arrivals));
+        rank.set_waiting(static_cast<float>(it.waiting));
+        rank.set_refused(static_cast<float>(it.refused));
+        rank.set_started(static_cast<float>(it.started));
+    }
+    for (const AccountDemand &it : report.accounts) {
+        fleet::AccountDemand &account = *demand.add_accounts();
+        account.set_account(it.account.value);
+        account.set_arrivals(static_cast<float>(it.arrivals));
+    }
+    demand.set_measured_at_ms(static_cast<std::uint64_t>(std::chrono::duration_cast<milliseconds>(report.measuredAt).count()));
+    demand.set_run(report.run);
+}
+
 void encode(fleet::Datagram &datagram, const StatusReport &report)
 {
     fleet::Status &status = *datagram.mutable_status();
@@ -61,6 +80,16 @@
                 target.set_limit_age_ms(toMs(it.limit->age));
             }
         }
+        if (const auto it = report.demand.find(name); it != report.demand.end()) {
+            encode(*service.mutable_demand(), it->second);
+        }
+    }
+    for (const auto &[name, demand] : report.demand) {
+        if (!report.targetReports->contains(name)) {
+            fleet::ServiceReport &service = *status.add_services();
+            service.set_service(name.value);
+            encode(*service.mutable_demand(), demand);
+        }
     }
 }
 
@@ -268,6 +297,22 @@
                        .age = milliseconds(target.limit_age_ms())};
 }
 
+// DemandView rejects impossible numbers and counts the rejection.
+DemandReport decodeDemand(const fleet::Demand &demand)
+{
+    constexpr std::uint64_t longestClockMs = 1ULL << 40; // 34 years; longer ones would overflow
+    DemandReport report{.run = demand.run(),
+                        .measuredAt = demand.measured_at_ms() <= longestClockMs ? milliseconds(demand.measured_at_ms()) : Duration(0)};
+    for (const fleet::RankDemand &it : demand.ranks()) {
+        report.ranks.push_back(
+            {.rank = it.rank(), .arrivals = it.arrivals(), .waiting = it.waiting(), .refused = it.refused(), .started = it.started()});
+    }
+    for (const fleet::AccountDemand &it : demand.accounts()) {
+        report.accounts.push_back({.account = {it.account()}, .arrivals = it.arrivals()});
+    }
+    return report;
+}
+
 StatusReport decodeStatus(const fleet::Status &status)
 {
     StatusReport report{.isLeaving = status.is_leaving(),
@@ -290,6 +335,9 @@
                                   .leavingIncarnation = it.is_leaving() ? std::optional<std::uint64_t>(it.incarnation()) : std::nullopt,
                                   .limit = decodeLimit(it)});
         }
+        if (service.has_demand()) {
+            report.demand[ServiceName{service.service()}] = decodeDemand(service.demand());
+        }
     }
     report.targetReports = std::move(targetReports);
     report.isFullReport = status.is_whole();
--- a/packages/fleet/src/link.h
+++ b/packages/fleet/src/link.h
@@ -19,6 +19,7 @@
     Duration storeReachableFor{};               // time of uninterrupted access to the store; 0: the store is unreachable
     std::optional<TargetUpdates> targetReports; // empty: this datagram doesn't report targets
     bool isFullReport = true;                   // false: only the changed targets are listed
+    DemandUpdates demand;                       // sent only together with `targetReports`, which may be without targets
 };
 
 /// Requests one rate limit token of an account from another Vm.
--- a/packages/fleet/src/target_reports.cpp
+++ b/packages/fleet/src/target_reports.cpp
@@ -65,7 +65,30 @@
     return std::max<std::size_t>((receivers.distant + share - 1) / share, 1);
 }
 
-TargetReportSchedule::Reports TargetReportSchedule::next(const TargetUpdates &current, const Receivers &receivers, bool isFullReport)
+DemandUpdates TargetReportSchedule::nextDemand(SentDemand &sent, const DemandUpdates &demand, std::size_t interval, bool isFullReport)
+{
+    ++sent.periods;
+    if (!isFullReport && sent.periods < interval) {
+        return {};
+    }
+    std::set<ServiceName> underPressure;
+    for (const auto &[name, it] : demand) {
+        if (isUnderPressure(it.ranks)) {
+            underPressure.insert(name);
+        }
+    }
+    DemandUpdates due = demand;
+    if (!isFullReport) {
+        std::erase_if(due, [&](const auto &it) { return !underPressure.contains(it.first) && !sent.underPressure.contains(it.first); });
+    }
+    if (!due.empty()) {
+        sent = {.underPressure = std::move(underPressure)};
+    }
+    return due;
+}
+
+TargetReportSchedule::Reports
+TargetReportSchedule::next(const TargetUpdates &current, const DemandUpdates &demand, const Receivers &receivers, bool isFullReport)
 {
     ++m_periodsSinceDistant;
     const bool isDistantDue = isFullReport || m_periodsSinceDistant >= distantInterval(receivers) || hasNewFailure(m_lastDistant, current);
@@ -76,6 +99,12 @@
         m_lastDistant = current;
         m_periodsSinceDistant = 0;
     }
+    const bool hasPressure = std::any_of(demand.begin(), demand.end(), [](const auto &it) { return isUnderPressure(it.second.ranks); });
+    if (!isFullReport || !current.empty() || hasPressure) {
+        const std::size_t interval = std::clamp(distantInterval(receivers), demandInterval, maxDistantDemandInterval);
+        reports.nearDemand = nextDemand(m_nearDemand, demand, demandInterval, isFullReport);
+        reports.distantDemand = nextDemand(m_distantDemand, demand, interval, isFullReport);
+    }
     return reports;
 }
 
--- a/packages/fleet/tests/test_link.cpp
+++ b/packages/fleet/tests/test_link.cpp
@@ -2,6 +2,7 @@
 #include "link.h"
 
 #include <boost/test/unit_test.hpp>
+#include <limits>
 
 using namespace Pollenspoke;
 
@@ -120,3 +121,77 @@
     BOOST_TEST(!unknown.declarations.has_value());
     BOOST_TEST(!unknown.departures.has_value()); // not the same as: no target left
 }
+
+namespace {
+
+StatusReport makeDemandReport()
+{
+    StatusReport status{.targetReports = TargetUpdates{{{"s-1"}, {TargetObservation{.target = {"t-1"}, .inFlight = 3}}}}};
+    const DemandReport demand{.ranks = {{.rank = 0, .arrivals = 12.5, .waiting = 3, .refused = 1.5, .started = 9},
+                                        {.rank = 7, .arrivals = 100, .refused = 50, .started = 25}},
+                              .accounts = {{.account = {"a-1"}, .arrivals = 64}},
+                              .run = 77,
+                              .measuredAt = std::chrono::hours(30)};
+    status.demand = {{{"s-1"}, demand}, {{"s-2"}, demand}}; // no targets of s-2 are reported
+    return status;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(demand_is_read_as_it_was_sent)
+{
+    const StatusReport sent = makeDemandReport();
+    const auto datagram = decodeDatagram(encodeDatagram(sender, sent));
+    BOOST_REQUIRE(datagram.has_value());
+    const auto &status = std::get<StatusReport>(datagram->second);
+    BOOST_TEST((status.demand == sent.demand));
+    BOOST_REQUIRE(status.targetReports.has_value());
+    BOOST_TEST(status.targetReports->at({"s-1"}).size() == 1U);
+}
+
+// Failure: reports that were cut, or whose bytes were changed. Guards against numbers in the view that no Vm counted.
+BOOST_AUTO_TEST_CASE(cut_or_changed_demand_never_gives_impossible_numbers)
+{
+    const std::string bytes = encodeDatagram(sender, makeDemandReport());
+    const TimePoint now{std::chrono::hours(50)};
+    const auto check = [&now](const std::string &changed) {
+        const auto datagram = decodeDatagram(changed);
+        const auto *status = datagram ? std::get_if<StatusReport>(&datagram->second) : nullptr;
+        if (status == nullptr) {
+            return;
+        }
+        for (const auto &[service, demand] : status->demand) {
+            DemandView view;
+            view.setVms({"vm-0"}, {sender});
+            view.apply(sender, demand, now);
+            for (const RankDemand &it : view.ranks({}, now)) {
+                for (const double number : {it.arrivals, it.waiting, it.refused, it.started}) {
+                    BOOST_TEST((number >= 0 && number <= DemandView::maxNumber));
+                }
+            }
+        }
+    };
+    for (std::size_t n = 0; n < bytes.size(); ++n) {
+        check(bytes.substr(0, n));
+        for (const int it : {0, 0x7f, 0x80, 0xff}) {
+            std::string changed = bytes;
+            changed[n] = static_cast<char>(it);
+            check(changed);
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(forged_numbers_of_demand_are_rejected)
+{
+    const TimePoint now{std::chrono::hours(50)};
+    for (const double it : {-1.0, 2e6, std::numeric_limits<double>::quiet_NaN(), std::numeric_limits<double>::infinity()}) {
+        StatusReport status = makeDemandReport();
+        status.demand.at({"s-1"}).ranks.front().waiting = it;
+        const auto datagram = decodeDatagram(encodeDatagram(sender, status));
+        BOOST_REQUIRE(datagram.has_value());
+        DemandView view;
+        view.setVms({"vm-0"}, {sender});
+        BOOST_TEST(!view.apply(sender, std::get<StatusReport>(datagram->second).demand.at({"s-1"}), now), it);
+        BOOST_TEST(view.apply(sender, std::get<StatusReport>(datagram->second).demand.at({"s-2"}), now), it);
+    }
+}
--- a/packages/policy/include/pollenspoke/policy.h
+++ b/packages/policy/include/pollenspoke/policy.h
@@ -1654,7 +1654,9 @@
     std::map<std::uint64_t, QueuedRequest> m_requests;
     std::set<std::pair<TimePoint, std::uint64_t>> m_startBys; // of the timely requests that have an objective
     TimePoint m_forgottenAt;
+};
 
+//-----------------------------------------------------------------------------
 // [17] Demand view
 //-----------------------------------------------------------------------------
 
--- a/packages/proxy/include/pollenspoke/proxy.h
+++ b/packages/proxy/include/pollenspoke/proxy.h
@@ -83,6 +83,7 @@
     double patienceFactor = 0;                       // time limit of all but the last attempt, as multiple of the usual latency; 0: none
     std::uint32_t shortestPatienceMs = 250;          // lower bound of that limit
     RetryBudgetOptions retryBudget{.reserve = 1000}; // per service
+    bool admissionByRank = false;                    // while a service lacks slots, only requests of the more urgent ranks may wait for one
     BalancerOptions balancer;
     HedgeOptions hedge; // per service
     bool hasFairShares = false; // accounts take turns at scarce slots, by weight
@@ -152,6 +153,9 @@
 /// Load and health of each service's targets, as observed by one Vm. Vms exchange these updates.
 using TargetUpdates = std::map<ServiceName, std::vector<TargetObservation>>;
 
+/// Demand for each service at one Vm. Seat holders exchange it together with the target updates.
+using DemandUpdates = std::map<ServiceName, DemandReport>;
+
 /// The proxy of one Vm. All methods are thread-safe.
 class Proxy
 {
@@ -170,6 +174,10 @@
     void applyTargetUpdates(const VmName &vm, const TargetUpdates &updates, bool isWhole);
     TargetUpdates targetUpdates() const; // to be sent to the other Vms
 
+    /// Applies the demand that another Vm reported. Impossible or outdated parts are rejected and counted.
+    void applyDemand(const VmName &vm, const DemandUpdates &demand);
+    DemandUpdates demandUpdates(); // of services with demand within the last second, to be sent to the other seat holders
+
     void setRetryShare(double share);                  // this Vm's share of the retry budgets' reserve, 0 to 1
     void setVmCount(std::uint32_t n);                  // Vms that divide each target's connection limit, at least 1
     void setLimitSharers(const LimitSharers &sharers); // Vms that share the limits of targets; not set: this Vm is alone
--- a/packages/proxy/src/dispatcher.cpp
+++ b/packages/proxy/src/dispatcher.cpp
@@ -193,7 +193,7 @@
         .plan
         = {.isIdempotent = request.resolved.isIdempotent, .maxAttempts = request.resolved.route->maxAttempts, .deadline = request.deadline},
         .startedAt = m_dependencies.clock.now()};
-    m_targets.noteRequest(request.resolved.serviceName);
+    m_targets.noteRequest(request.resolved.serviceName, request.resolved.effectivePriority(), request.resolved.caller.accountName);
     while (progress.replacement
            || (progress.plan.attempt <= progress.plan.maxAttempts && progress.connectFailures < maxConnectFailures
                && m_dependencies.clock.now() < request.deadline)) {
@@ -271,11 +271,27 @@
                      {"after_ms", std::to_string(std::chrono::duration_cast<milliseconds>(elapsed).count())}});
 }
 
-Refusal Dispatcher::makeFinalRefusal(const DispatchRequest &request, const DispatchTrace &trace, const Progress &progress) const
+// Adds to a refusal for lack of capacity when the caller should come back.
+void Dispatcher::scheduleReturn(const DispatchRequest &request, Refusal &refusal)
+{
+    const DispatchRefusal scheduled = m_targets.refuse({.service = request.resolved.serviceName,
+                                                        .priority = request.resolved.effectivePriority(),
+                                                        .requestId = request.requestId,
+                                                        .deadline = request.deadline});
+    refusal.retryAfter = scheduled.returnTime.retryAfter;
+    refusal.boundary = scheduled.boundary;
+    if (!scheduled.returnTime.isBeforeDeadline) {
+        refusal.capacityIn = scheduled.returnTime.capacityIn;
+    }
+}
+
+Refusal Dispatcher::makeFinalRefusal(const DispatchRequest &request, const DispatchTrace &trace, const Progress &progress)
 {
     const bool isPastDeadline = m_dependencies.clock.now() >= request.deadline;
     Refusal refusal = refusalForFailure(progress.reason.value_or(RetryReason::ConnectFailed), trace.mayHaveRun, isPastDeadline);
-    if (refusal.retryAfter) {
+    if (refusal.reason == RefusalReason::TargetDeclined) {
+        scheduleReturn(request, refusal);
+    } else if (refusal.retryAfter) {
         refusal.retryAfter = m_targets.retryAfter(request.resolved.serviceName);
     }
     return refusal;
@@ -323,7 +339,7 @@
 
 // Resolves the request again before a retry, so that routes closed, keys withdrawn and targets removed since then are
 // respected.
-std::optional<Refusal> Dispatcher::resolveForRetry(DispatchRequest &request, const DispatchTrace &trace, Progress &progress) const
+std::optional<Refusal> Dispatcher::resolveForRetry(DispatchRequest &request, const DispatchTrace &trace, Progress &progress)
 {
     if (!progress.last) {
         return std::nullopt;
@@ -357,8 +373,13 @@
         co_return makeFinalRefusal(request, trace, progress);
     }
     const bool isQueueFull = target.error() == AcquireFailure::QueueFull;
-    co_return Refusal{.reason = isQueueFull ? RefusalReason::QueueFull : RefusalReason::NoTarget,
-                      .retryAfter = m_targets.retryAfter(resolved.serviceName)};
+    Refusal refusal{.reason = isQueueFull ? RefusalReason::QueueFull : RefusalReason::NoTarget};
+    if (isQueueFull) {
+        scheduleReturn(request, refusal);
+    } else {
+        refusal.retryAfter = m_targets.retryAfter(resolved.serviceName);
+    }
+    co_return refusal;
 }
 
 bool Dispatcher::isUsable(const Service &service, const TargetId &id) const
@@ -380,6 +401,7 @@
 {
     const AcquireRequest acquireRequest{.service = resolved.serviceName,
                                         .route = resolved.routeName,
+                                        .requestId = request.requestId,
                                         .tried = std::move(tried),
                                         .account = resolved.caller.accountName,
                                         .weight = resolved.caller.account != nullptr ? resolved.caller.account->weight : 1,
--- a/packages/proxy/src/dispatcher.h
+++ b/packages/proxy/src/dispatcher.h
@@ -159,7 +159,7 @@
         std::optional<Replacement> replacement; // the next attempt
     };
 
-    std::optional<Refusal> resolveForRetry(DispatchRequest &request, const DispatchTrace &trace, Progress &progress) const;
+    std::optional<Refusal> resolveForRetry(DispatchRequest &request, const DispatchTrace &trace, Progress &progress);
     net::awaitable<std::optional<Refusal>> acquireTarget(const DispatchRequest &request, const DispatchTrace &trace, Progress &progress);
     net::awaitable<tl::expected<Target, AcquireFailure>> acquireSlot(const DispatchRequest &request,
                                                                      const ResolvedRequest &resolved,
@@ -172,7 +172,8 @@
     static bool exceedsAttempts(const Progress &progress);
     static void useReplacement(DispatchRequest &request, Progress &progress);
     bool isStopTooClose(const DispatchRequest &request, const DispatchTrace &trace) const;
-    Refusal makeFinalRefusal(const DispatchRequest &request, const DispatchTrace &trace, const Progress &progress) const;
+    void scheduleReturn(const DispatchRequest &request, Refusal &refusal);
+    Refusal makeFinalRefusal(const DispatchRequest &request, const DispatchTrace &trace, const Progress &progress);
     static void logFailure(
         const DispatchRequest &request, const TargetId &id, const Progress &progress, const AttemptFailure &failure, Duration elapsed);
     static void recordFailure(const AttemptFailure &failure, Progress &progress);
--- a/packages/proxy/src/proxy.cpp
+++ b/packages/proxy/src/proxy.cpp
@@ -298,6 +298,16 @@
     return m_impl->dispatcher.targets().targetUpdates();
 }
 
+void Proxy::applyDemand(const VmName &vm, const DemandUpdates &demand)
+{
+    m_impl->dispatcher.targets().applyDemand(vm, demand);
+}
+
+DemandUpdates Proxy::demandUpdates()
+{
+    return m_impl->dispatcher.targets().demandUpdates();
+}
+
 void Proxy::setRetryShare(double share)
 {
     m_impl->dispatcher.targets().setRetryShare(share);
--- a/packages/proxy/src/refusal.cpp
+++ b/packages/proxy/src/refusal.cpp
@@ -14,6 +14,10 @@
     problem.addNumber("status", refusalStatus(refusal.reason));
     problem.add("reason", reason);
     problem.add("run", refusal.run == RunState::NotRun ? "not-run" : "unknown");
+    if (refusal.capacityIn) {
+        problem.add("capacity", "not before the deadline");
+        problem.addNumber("capacity_in_ms", static_cast<double>(std::chrono::ceil<std::chrono::milliseconds>(*refusal.capacityIn).count()));
+    }
     if (!requestId.empty()) {
         problem.add("request_id", requestId);
     }
--- a/packages/proxy/src/refusal.h
+++ b/packages/proxy/src/refusal.h
@@ -17,6 +17,8 @@
     RunState run = RunState::NotRun;
     std::optional<Duration> retryAfter; // set if retrying later may succeed
     bool closesConnection = false;      // message boundaries on the connection are no longer reliable
+    std::optional<Duration> capacityIn; // set if there will be no capacity before the request's deadline: the expected time until then
+    std::optional<AdmissionBoundary> boundary; // admission level of the service, if it has one
 };
 
 static_assert(std::is_trivially_destructible_v<Refusal>);
--- a/packages/proxy/src/session.cpp
+++ b/packages/proxy/src/session.cpp
@@ -107,7 +107,9 @@
                      {"account", account.value},
                      {"path", path},
                      {"after_ms", ms(totalTime)},
-                     {"retry_after_ms", refusal.retryAfter ? ms(*refusal.retryAfter) : "none"}});
+                     {"retry_after_ms", refusal.retryAfter ? ms(*refusal.retryAfter) : "none"},
+                     {"capacity_in_ms", refusal.capacityIn ? ms(*refusal.capacityIn) : "before the deadline"},
+                     {"boundary_rank", refusal.boundary ? std::to_string(refusal.boundary->rank) : "none"}});
 }
 
 void logAborted(
--- a/packages/proxy/src/target_table.cpp
+++ b/packages/proxy/src/target_table.cpp
@@ -1,6 +1,8 @@
 #include "target_table.h"
 
 #include <algorithm>
+#include <cmath>
+#include <numeric>
 
 namespace Pollenspoke {
 
@@ -43,6 +45,14 @@
               {"pause_ms", std::to_string(ms)}});
 }
 
+constexpr double minLatencySeconds = 0.001; // of a capacity estimate
+constexpr std::int64_t noBoundary = -1;     // value of the gauge
+
+std::string describeBoundary(const std::optional<AdmissionBoundary> &boundary)
+{
+    return boundary ? std::to_string(boundary->rank) : "none";
+}
+
 Generator &threadGenerator()
 {
     thread_local Generator generator{std::random_device{}()};
@@ -92,9 +102,10 @@
 class TargetTable::QueueEntry
 {
 public:
-    QueueEntry(TargetTable &table, ServiceName service, std::shared_ptr<Waiter> waiter)
+    QueueEntry(TargetTable &table, ServiceName service, std::uint32_t rank, std::shared_ptr<Waiter> waiter)
         : m_table(table)
         , m_service(std::move(service))
+        , m_rank(rank)
         , m_waiter(std::move(waiter))
     {
     }
@@ -105,6 +116,7 @@
         const TimePoint now = m_table.m_clock.now();
         entry.queue.remove(sequence(), now); // unless it has started
         entry.waiters.erase(sequence());
+        entry.demand.noteWaitEnded(m_rank, now);
         wakeWaiters(entry, now);
     }
     QueueEntry(const QueueEntry &) = delete;
@@ -116,6 +128,7 @@
 private:
     TargetTable &m_table;
     ServiceName m_service;
+    std::uint32_t m_rank;
     std::shared_ptr<Waiter> m_waiter;
 };
 
@@ -123,7 +136,9 @@
     : m_options(options)
     , m_clock(clock)
     , m_metrics(metrics)
+    , m_run(std::uniform_int_distribution<std::uint64_t>(1, UINT32_MAX)(threadGenerator()))
 {
+    m_metrics.setGauge(Gauge::AdmissionBoundary, noBoundary);
 }
 
 TargetTable::Entry &TargetTable::entry(const ServiceName &service)
@@ -139,6 +154,7 @@
                    .queue = FairQueue({.hasFairShares = dispatch.hasFairShares})};
     newEntry.budget.setShare(m_retryShare);
     newEntry.balancer.setLimitSharers(m_limitSharers, m_clock.now());
+    setVms(newEntry);
     return m_entries.emplace(service, std::move(newEntry)).first->second;
 }
 
@@ -193,12 +209,112 @@
     }
 }
 
-void TargetTable::noteRequest(const ServiceName &service)
+void TargetTable::applyDemand(const VmName &vm, const DemandUpdates &demand)
 {
+    const std::lock_guard lock(m_mutex);
+    const TimePoint now = m_clock.now();
+    for (const auto &[name, report] : demand) {
+        const auto it = m_entries.find(name);
+        if (it != m_entries.end() && !it->second.view.apply(vm, report, now)) {
+            m_metrics.count(Counter::DemandPartsRejected);
+        }
+    }
+}
+
+DemandUpdates TargetTable::demandUpdates()
+{
+    logLevelChanges();
+    const std::lock_guard lock(m_mutex);
+    const TimePoint now = m_clock.now();
+    DemandUpdates updates;
+    for (auto &[name, it] : m_entries) {
+        updateLevel(name, it, now); // also without requests, so that the end of a shortage is noticed
+        if (DemandReport report = it.demand.report(now); !report.isEmpty()) {
+            report.run = m_run;
+            updates.emplace(name, std::move(report));
+        }
+    }
+    return updates;
+}
+
+void TargetTable::logLevelChanges()
+{
+    std::vector<LevelChange> changes;
+    {
+        const std::lock_guard lock(m_mutex);
+        changes.swap(m_levelChanges);
+    }
+    for (const LevelChange &it : changes) {
+        logEvent(Event::AdmissionLevelChanged,
+                 {{"service", it.service.value},
+                  {"boundary_rank", describeBoundary(it.after)},
+                  {"share", it.after ? std::to_string(it.after->share) : "none"},
+                  {"previous_rank", describeBoundary(it.before)},
+                  {"arrivals_per_s", std::to_string(std::llround(it.total.arrivals))},
+                  {"waiting", std::to_string(std::llround(it.total.waiting))},
+                  {"starts_per_s", std::to_string(std::llround(it.total.started))},
+                  {"vms", std::to_string(it.vms)}});
+    }
+}
+
+void TargetTable::setVms(Entry &entry) const
+{
+    entry.view.setVms(m_limitSharers.self, m_limitSharers.vms.value_or(std::vector<VmName>()));
+}
+
+void TargetTable::updateLevel(const ServiceName &service, Entry &entry, TimePoint now)
+{
+    if (!m_options.dispatch.admissionByRank || !entry.level.isDue(now)) {
+        return;
+    }
+    const std::optional<AdmissionBoundary> before = entry.level.boundary();
+    const std::vector<RankDemand> demand = entry.view.ranks(entry.demand.report(now), now);
+    if (!entry.level.update(demand, now)) {
+        return;
+    }
+    std::int64_t mostUrgent = noBoundary;
+    for (const auto &[name, it] : m_entries) {
+        if (it.level.boundary()) {
+            const auto rank = static_cast<std::int64_t>(it.level.boundary()->rank);
+            mostUrgent = mostUrgent == noBoundary ? rank : std::min(mostUrgent, rank);
+        }
+    }
+    m_metrics.setGauge(Gauge::AdmissionBoundary, mostUrgent);
+    const std::optional<AdmissionBoundary> &after = entry.level.boundary();
+    if (before && after && before->rank == after->rank) {
+        return; // only the share changed
+    }
+    LevelChange change{.service = service, .before = before, .after = after, .total = {}, .vms = entry.view.parts(now) + 1};
+    for (const RankDemand &it : demand) {
+        change.total.arrivals += it.arrivals;
+        change.total.waiting += it.waiting;
+        change.total.started += it.started;
+    }
+    m_levelChanges.push_back(std::move(change));
+}
+
+bool TargetTable::mayWait(Entry &entry, const AcquireRequest &request, TimePoint now)
+{
+    if (!m_options.dispatch.admissionByRank) {
+        return true;
+    }
+    updateLevel(request.service, entry, now);
+    const bool mayWait = entry.level.mayWait(request.priority, request.requestId);
+    if (entry.level.boundary()) {
+        m_metrics.count(mayWait ? Counter::WaitsByLevel : Counter::RefusalsByLevel);
+    }
+    return mayWait;
+}
+
+void TargetTable::noteRequest(const ServiceName &service, std::uint32_t priority, const AccountName &account)
+{
+    logLevelChanges();
     const std::lock_guard lock(m_mutex);
     Entry &it = entry(service);
-    it.budget.noteRequest(m_clock.now());
+    const TimePoint now = m_clock.now();
+    it.budget.noteRequest(now);
     it.hedge.noteRequest();
+    it.demand.noteArrival(priority, account, now);
 }
 
 void TargetTable::recordOutcome(const ServiceName &service, bool isRefused)
@@ -232,6 +348,43 @@
     return std::max<Duration>({expectedWait(it->second, it->second.queue.size(), now), *opensAt - now, minRetryAfter});
 }
 
+DispatchRefusal TargetTable::refuse(const RefusedDispatch &request)
+{
+    const std::lock_guard lock(m_mutex);
+    Entry &it = entry(request.service);
+    const TimePoint now = m_clock.now();
+    it.demand.noteRefused(request.priority, now);
+    const DemandReport own = it.demand.report(now);
+    const std::vector<RankDemand> fleet = it.view.ranks(own, now);
+    const auto sumOf = [](const std::vector<RankDemand> &ranks, double RankDemand::*number, std::uint32_t lastRank) {
+        return std::accumulate(ranks.begin(), ranks.end(), 0.0, [number, lastRank](double sum, const RankDemand &rank) {
+            return rank.rank <= lastRank ? sum + rank.*number : sum;
+        });
+    };
+    const double refused = sumOf(fleet, &RankDemand::refused, UINT32_MAX);
+    const std::optional<TimePoint> opensAt = it.balancer.opensAt(now);
+    const Duration opensIn = opensAt ? std::max<Duration>(*opensAt - now, it.balancer.limitedWait(0, now)) : Duration(noTargetRetryAfter);
+    double capacity = sumOf(fleet, &RankDemand::started, UINT32_MAX);
+    const bool isShort = it.level.boundary() || sumOf(fleet, &RankDemand::waiting, UINT32_MAX) > 0;
+    if (!isShort && it.balancer.limitedWait(0, now) == Duration(0)) { // the starts are what callers asked for, not what is possible
+        const double latency = std::chrono::duration<double>(it.balancer.usualLatency()).count();
+        capacity = std::max(capacity, std::max<std::uint32_t>(it.balancer.usableSlots(now), 1) / std::max(latency, minLatencySeconds));
+    }
+    const ReturnTime returnTime
+        = it.returns.refuse({.rank = request.priority,
+                             .id = request.requestId,
+                             .waitingAhead = sumOf(fleet, &RankDemand::waiting, request.priority),
+                             .startsPerSecond = capacity,
+                             .share = refused > 0 ? sumOf(own.ranks, &RankDemand::refused, UINT32_MAX) / refused : 1,
+                             .opensIn = opensIn,
+                             .left = request.deadline - now},
+                            now);
+    if (!returnTime.isBeforeDeadline) {
+        m_metrics.count(Counter::ReturnsAfterDeadline);
+    }
+    return {.returnTime = returnTime, .boundary = it.level.boundary()};
+}
+
 Duration TargetTable::expectedWait(const Entry &entry, std::size_t waitersAhead, TimePoint now)
 {
     const std::uint32_t slots = std::max<std::uint32_t>(entry.balancer.usableSlots(now), 1);
@@ -301,19 +454,23 @@
             if (isAtFront || hasWaitedLong) {
                 if (std::optional<Target> target = tryReserve(it, request, hasWaitedLong && request.mayOvercommit, reservation)) {
                     queueEntry ? it.queue.start(queued.sequence, now) : it.queue.noteStart(queued, now);
+                    if (request.tried.empty()) {
+                        it.demand.noteStarted(request.priority, now);
+                    }
                     co_return std::move(*target);
                 }
             }
             if (!queueEntry) {
                 m_metrics.count(Counter::DispatchesHeldCold, it.balancer.isHeldBackByWarmup(now) ? 1 : 0);
-                if (expectedWait(it, waitersAhead, now) > maxWait) {
+                if (!mayWait(it, request, now) || expectedWait(it, waitersAhead, now) > maxWait) {
                     co_return tl::unexpected(AcquireFailure::QueueFull);
                 }
                 queued.sequence = ++m_lastSequence;
                 auto waiter = std::make_shared<Waiter>(Waiter{queued.sequence, net::steady_timer(executor)});
                 it.queue.push(queued, now);
                 it.waiters.emplace(queued.sequence, waiter);
-                queueEntry.emplace(*this, request.service, std::move(waiter));
+                it.demand.noteWaiting(request.priority, now);
+                queueEntry.emplace(*this, request.service, request.priority, std::move(waiter));
             }
         }
         if (now - requestedAt >= maxWait) {
@@ -384,6 +541,7 @@
     m_limitSharers = sharers;
     for (auto &[name, it] : m_entries) {
         it.balancer.setLimitSharers(sharers, m_clock.now());
+        setVms(it);
     }
 }
 
--- a/packages/proxy/src/target_table.h
+++ b/packages/proxy/src/target_table.h
@@ -57,6 +57,7 @@
 {
     ServiceName service;
     RouteName route;
+    std::string requestId;
     std::vector<TargetName> tried;
     AccountName account;                  // empty: none
     std::uint32_t weight = 1;             // of the account
@@ -69,6 +70,20 @@
     std::optional<TimePoint> arrivedAt{}; // of the request, for its objective; empty: now
 };
 
+/// A request that is refused for lack of capacity, and what its caller is told.
+struct RefusedDispatch
+{
+    ServiceName service;
+    std::uint32_t priority = 0;
+    std::string_view requestId;
+    TimePoint deadline;
+};
+struct DispatchRefusal
+{
+    ReturnTime returnTime;
+    std::optional<AdmissionBoundary> boundary; // of the service; empty: requests of all ranks may wait
+};
+
 class TargetTable
 {
 public:
@@ -78,6 +93,8 @@
     void applyTargetUpdates(const VmName &vm, const TargetUpdates &updates, bool isWhole);
     TargetUpdates targetUpdates() const;
     void setRetryShare(double share);
+    void applyDemand(const VmName &vm, const DemandUpdates &demand);
+    DemandUpdates demandUpdates();
 
     /// Chooses a target and reserves a slot there. Waits in the service's queue as long as the request can still be answered in
     /// time.
@@ -95,7 +112,8 @@
 
     bool hasOpenTarget(const ServiceName &service) const; // one that is listed as serving and announced nothing else
 
-    void noteRequest(const ServiceName &service);                   // counts a request (not a retry) for the retry budget
+    /// Counts a request (not a retry) for the retry budget and the demand.
+    void noteRequest(const ServiceName &service, std::uint32_t priority, const AccountName &account);
     void recordOutcome(const ServiceName &service, bool isRefused); // records whether this Vm refused a request
     bool takeRetry(const ServiceName &service);                     // false: the retry budget is exhausted
     Duration usualLatency(const ServiceName &service) const;
@@ -108,6 +126,9 @@
     tl::expected<Target, HedgeHoldback> acquireForHedge(const AcquireRequest &request, TargetReservation &reservation); // doesn't wait
     std::optional<HedgeHoldback> takeHedge(const ServiceName &service); // to be called last before the first byte
 
+    /// Counts a request as refused for lack of capacity, and schedules the return of its caller.
+    DispatchRefusal refuse(const RefusedDispatch &request);
+
     /// Calls `visit` with the number of requests in flight at the target, with the table locked.
     void withInFlightCount(const TargetId &id, const std::function<void(std::uint32_t)> &visit) const;
 
@@ -131,6 +152,10 @@
         HedgePolicy hedge;
         FairQueue queue;
         std::map<std::uint64_t, std::shared_ptr<Waiter>> waiters; // of the requests in the queue, by sequence
+        DemandCounter demand;
+        DemandView view;
+        AdmissionLevel level;
+        ReturnSchedule returns;
     };
     class QueueEntry;
 
@@ -139,6 +164,20 @@
     static Duration expectedWait(const Entry &entry, std::size_t waitersAhead, TimePoint now);
     static HedgeConditions hedgeConditions(const Entry &entry, TimePoint now);
     static void wakeWaiters(Entry &entry, TimePoint now);
+    void updateLevel(const ServiceName &service, Entry &entry, TimePoint now);
+    void logLevelChanges();                                                   // of all services, not under the lock
+    bool mayWait(Entry &entry, const AcquireRequest &request, TimePoint now); // as the admission level decides
+    void setVms(Entry &entry) const;
+
+    // A change of the level to be logged once the table isn't locked.
+    struct LevelChange
+    {
+        ServiceName service;
+        std::optional<AdmissionBoundary> before;
+        std::optional<AdmissionBoundary> after;
+        RankDemand total; // over all ranks
+        std::size_t vms = 0;
+    };
 
     const ProxyOptions &m_options;
     const Clock &m_clock;
@@ -148,6 +187,8 @@
     std::uint64_t m_lastSequence = 0;
     double m_retryShare = 1;
     LimitSharers m_limitSharers;
+    std::vector<LevelChange> m_levelChanges;
+    std::uint64_t m_run = 0; // random number of this process in its demand reports
 };
 
 } // namespace Pollenspoke
--- a/packages/telemetry/include/pollenspoke/telemetry.h
+++ b/packages/telemetry/include/pollenspoke/telemetry.h
@@ -56,8 +56,12 @@
     HedgesSent,            // second copies of slow requests, beside the first
     HedgesWon,             // those whose answer went to the caller
     HedgesCancelled,       // those that were ended as the first attempt answered
+    DemandPartsRejected,   // other Vms' numbers of a service's demand that were impossible, too old or from a Vm without a seat
+    WaitsByLevel,          // requests without a free slot that the admission level allowed to wait
+    RefusalsByLevel,       // those that it had refused
+    ReturnsAfterDeadline,  // refusals that name a time after the request's deadline, since there is no capacity before
 };
-inline constexpr std::size_t counterCount = static_cast<std::size_t>(Counter::HedgesCancelled) + 1;
+inline constexpr std::size_t counterCount = static_cast<std::size_t>(Counter::ReturnsAfterDeadline) + 1;
 
 /// Current values.
 enum class Gauge {
@@ -73,8 +77,9 @@
     DeclarationsVersion, // operator's version of the declarations in force; 0: none, or the platform has no such version
     SeatInUse,           // 1: this Vm has a seat and may use it
     EvacuatedDomains,    // failure domains whose targets get no new requests
+    AdmissionBoundary,   // of all services, the most urgent rank of which not all requests may wait for a slot; -1: none
 };
-inline constexpr std::size_t gaugeCount = static_cast<std::size_t>(Gauge::EvacuatedDomains) + 1;
+inline constexpr std::size_t gaugeCount = static_cast<std::size_t>(Gauge::AdmissionBoundary) + 1;
 
 /// Durations, recorded in histograms that cover 10 us to 100 s.
 enum class Timing {
--- a/packages/telemetry/src/metrics.cpp
+++ b/packages/telemetry/src/metrics.cpp
@@ -55,6 +55,10 @@
     "hedges_sent",
     "hedges_won",
     "hedges_cancelled",
+    "demand_parts_rejected",
+    "waits_by_level",
+    "refusals_by_level",
+    "returns_after_deadline",
 };
 constexpr std::array<std::string_view, gaugeCount> gaugeNames{
     "caller_connections",
@@ -69,6 +73,7 @@
     "declarations_version",
     "seat_in_use",
     "evacuated_domains",
+    "admission_boundary",
 };
 static_assert(!counterNames.back().empty() && !gaugeNames.back().empty(), "each counter and gauge has a name");
 constexpr std::array<std::string_view, timingCount> timingNames{"total", "added", "connect", "target", "declarations"};
