--- a/packages/proxy/include/pollenspoke/proxy.h
+++ b/packages/proxy/include/pollenspoke/proxy.h
@@ -85,7 +85,7 @@
     RetryBudgetOptions retryBudget{.reserve = 1000}; // per service
     bool admissionByRank = false;                    // while a service lacks slots, only requests of the more urgent ranks may wait for one
     BalancerOptions balancer;
-    HedgeOptions hedge; // per service
+    HedgeOptions hedge;         // per service
     bool hasFairShares = false; // accounts take turns at scarce slots, by weight
 };
 
