--- a/packages/policy/src/balancer.cpp
+++ b/packages/policy/src/balancer.cpp
@@ -567,7 +567,7 @@
         return halfOpenSlots;
     }
     const bool isReturning = member.returnedAt != TimePoint() && now - member.returnedAt < m_options.returnTime;
-    if (isReturning && !isOverloaded(now)
+    if (isReturning && !isShortOfSlots(now)
         && (!member.requestStarts.empty() || returnRank(member.target.name, m_sharers) >= member.target.slots)) {
         return 0;
     }
