--- a/packages/proxy/src/dispatcher.cpp
+++ b/packages/proxy/src/dispatcher.cpp
@@ -829,6 +829,7 @@
     if ((co_await net::this_coro::cancellation_state).cancelled() != net::cancellation_type::none) {
         co_return HedgeHoldback::Answering;
     }
+    m_targets.noteConnect(hedge.id, !ec);
     if (ec) {
         hedge.reservation->finish(AttemptEnd::Unreachable);
         progress.tried.push_back(hedge.id.target);
