Queue: the request at the front may be queued at a full target

VMs learn of each other's requests 40 ms late. Slots were idle while requests waited at another VM, and a waiting request was sent to a full target only after half of its longest wait.

The request at the front of the queue may now be one beyond the slots of a target, as known from all VMs, if it is still expected to meet its objective. The target must be well: not half-open, returned lately, limited, warming up, possibly stuck or reported as leaving. Two VMs for each target may do so, by returnRank(); a VM that is alone doesn't.

--- a/packages/policy/include/pollenspoke/policy.h
+++ b/packages/policy/include/pollenspoke/policy.h
@@ -682,6 +682,9 @@
 //   that still fails costs one request, and one that is well again waits for nobody.
 // - The target is half-open meanwhile: it holds one request at a time until `returnAnswers` have been answered. For `returnTime` after that,
 //   only as many Vms as it has slots use it, with one request each.
+// - A target may queue one request beyond its slots, so that it begins the next one when it ends one, and not only when the Vms have learned
+//   of that. Only the first two Vms by returnRank() send it, only to a target that is well, and only if the request is still expected to meet
+//   its objective.
 // - Floors keep a minimum share of the serving targets in use, whatever their failures.
 // - Announcements of the target itself bind the Vm that received them, whatever the floors: no request begins at an instance that said
 //   that it is leaving, or before the end of a pause that it asked for. What other Vms report of its leaving is evidence like any
@@ -833,6 +836,8 @@
     std::uint32_t overcommit = 0;      // requests that a target may hold beyond its slots
     std::uint32_t limit = 1000;        // maximum number of this Vm's requests at one target
     bool isRetryable = true;           // the request may be sent again after a failure
+    Duration answerWithin{0};          // time left to the objective, for which a target may queue the request; 0: none may
+    Duration usualLatency{0};          // of the request's route
 };
 
 /// Selects targets of one service, based on load, latency and recent failures.
@@ -946,6 +951,7 @@
     TimePoint trialAt(const Member &member, const ChoiceRequest &request, TimePoint now) const;
     TimePoint usableAt(const Member &member, const ChoiceRequest &request, TimePoint now) const;
     std::uint32_t slotsFor(const Member &member, const ChoiceRequest &request, TimePoint now) const;
+    bool mayQueueAt(const Member &member, const ChoiceRequest &request, TimePoint now) const;
     Member *findDueTrial(const ChoiceRequest &request, TimePoint now);
     void noteReturn(Member &member, TimePoint returnedAt);
     const Announced *findAnnounced(const Member &member) const; // of this instance; nullptr: nothing
--- a/packages/policy/src/balancer.cpp
+++ b/packages/policy/src/balancer.cpp
@@ -13,6 +13,8 @@
 constexpr double pauseGrowthFactor = 1.5;       // ratio of each pause to the previous one
 constexpr auto returnReportTime = std::chrono::seconds(2); // for which other Vms are told of a return; covers lost reports
 constexpr auto retryableMemory = std::chrono::seconds(1);  // after the last request that can be retried, the service counts as having none
+// For each target. In a simulated fleet of eight, overload makes targets decline 1.4 times as often or more if all of them do it.
+constexpr std::size_t queueingVms = 2;
 constexpr std::uint32_t halfOpenSlots = 1;      // requests that a half-open target may hold
 constexpr double scoreJitter = 1.5;       // largest random factor of a score; similar to the random latency differences of equal targets
 constexpr double overloadScoreJitter = 2; // the same under overload; spreads requests over all similar targets
@@ -464,7 +466,28 @@
     if (isReturning && (!member.requestStarts.empty() || returnRank(member.target.name, m_sharers) >= member.target.slots)) {
         return 0;
     }
-    return member.target.slots + request.overcommit;
+    return member.target.slots + std::max<std::uint32_t>(request.overcommit, mayQueueAt(member, request, now) ? 1 : 0);
+}
+
+// Whether the target may hold one request beyond its slots. Reports of other Vms' requests are late, so that only a few Vms send such
+// requests: all of them would do it at the same time.
+bool ServiceBalancer::mayQueueAt(const Member &member, const ChoiceRequest &request, TimePoint now) const
+{
+    const bool hasOtherVms = m_sharers.vms && m_sharers.vms->size() > 1; // a Vm that is alone knows which slots are free
+    if (request.answerWithin <= Duration(0) || !hasOtherVms || returnRank(member.target.name, m_sharers) >= queueingVms) {
+        return false;
+    }
+    const bool isReturning = member.returnedAt != TimePoint() && now - member.returnedAt < m_options.returnTime;
+    const Announced *announced = findAnnounced(member);
+    const bool isLimited = announced != nullptr && announced->limit.limit();
+    if (member.isHalfOpen || hasFailed(member) || isReturning || isLimited || member.warmupUntil > now || avoidedUntil(member, now) > now
+        || isPossiblyStuck(member, now)) {
+        return false;
+    }
+    const double targetLatency = expectedLatency(member, now);
+    const double slowness = targetLatency / static_cast<double>(usualLatency().count());
+    const double expected = targetLatency / member.target.slots + static_cast<double>(request.usualLatency.count()) * slowness;
+    return expected <= static_cast<double>(request.answerWithin.count());
 }
 
 // The measured slowness decays towards the service's usual latency, so that a target that was slow is tried again. A target without
--- a/packages/policy/tests/queue_fleet.cpp
+++ b/packages/policy/tests/queue_fleet.cpp
@@ -68,13 +68,23 @@
     wake(vm);
 }
 
-bool QueueFleet::trySend(Vm &vm, std::size_t index, TimePoint arrivedAt, bool hasWaitedLong)
+bool QueueFleet::trySend(Vm &vm, std::size_t index, TimePoint arrivedAt, bool isAtFront, bool hasWaitedLong)
 {
-    const ChoiceRequest request{.local = {"fd-a"}, .overcommit = hasWaitedLong ? 1U : 0U};
-    const std::optional<Target> target = vm.balancer.choose(request, m_now, m_generator);
+    ChoiceRequest request{.local = {"fd-a"}, .overcommit = hasWaitedLong ? 1U : 0U};
+    std::optional<Target> target = vm.balancer.choose(request, m_now, m_generator);
+    if (!target && isAtFront && m_options.queuesAtTargets) {
+        request.answerWithin = m_options.objective - (m_now - arrivedAt);
+        request.usualLatency = vm.balancer.usualLatency();
+        target = vm.balancer.choose(request, m_now, m_generator);
+    }
     if (!target) {
         return false;
     }
+    if (m_targets[target->name].size() >= m_options.slots + m_options.targetQueue) {
+        vm.balancer.end(target->name, AttemptEnd::Declined, Duration(0), m_now, m_now);
+        ++m_result.declined;
+        return trySend(vm, index, arrivedAt, isAtFront, hasWaitedLong);
+    }
     const double factor = std::uniform_real_distribution<double>(0.5, 1.5)(m_generator);
     m_targets[target->name].push_back({.vm = index,
                                        .arrivedAt = arrivedAt,
@@ -97,7 +107,7 @@
         ++m_result.requests;
         QueuedRequest queued{.sequence = UINT64_MAX};
         const std::size_t ahead = it.queue.countAhead(queued, m_now);
-        if (ahead == 0 && trySend(it, vm, m_now, false)) {
+        if (ahead == 0 && trySend(it, vm, m_now, true, false)) {
             continue;
         }
         if (expectedWait(it, ahead) > maxWait(it)) {
@@ -117,7 +127,7 @@
     const Duration waited = m_now - waiting.arrivedAt;
     const bool hasWaitedLong = waited >= maxWait(vm) / 2;
     const bool isAtFront = vm.queue.first(1, m_now).front() == sequence;
-    if ((isAtFront || hasWaitedLong) && trySend(vm, index, waiting.arrivedAt, hasWaitedLong)) {
+    if ((isAtFront || hasWaitedLong) && trySend(vm, index, waiting.arrivedAt, isAtFront, hasWaitedLong)) {
         vm.queue.start(sequence, m_now);
         leaveQueue(vm, sequence);
     } else if (waited >= maxWait(vm)) {
@@ -130,7 +140,9 @@
 
 void QueueFleet::advanceTargets()
 {
+    const bool doRequestsWait = std::any_of(m_vms.begin(), m_vms.end(), [](const Vm &it) { return !it.waiting.empty(); });
     for (auto &[name, running] : m_targets) {
+        m_result.idleSlots += doRequestsWait && running.size() < m_options.slots ? m_options.slots - running.size() : 0;
         for (auto it = running.begin(); it != running.end();) {
             if (it->endsAt == TimePoint() || it->endsAt > m_now) {
                 ++it;
@@ -146,9 +158,7 @@
         for (std::size_t i = 0; i < begun; ++i) {
             running[i].endsAt = running[i].endsAt == TimePoint() ? m_now + running[i].workTime : running[i].endsAt;
         }
-        const auto queued = static_cast<std::uint32_t>(running.size() - begun);
-        m_result.longestTargetQueue = std::max(m_result.longestTargetQueue, queued);
-        m_result.targetQueue += queued;
+        m_result.targetQueue += static_cast<double>(running.size() - begun);
     }
 }
 
@@ -188,7 +198,9 @@
             arrive(vm, traffic);
         }
     }
-    m_result.targetQueue /= static_cast<double>(steps) * static_cast<double>(m_targets.size());
+    const double targetSteps = static_cast<double>(steps) * static_cast<double>(m_targets.size());
+    m_result.targetQueue /= targetSteps;
+    m_result.idleSlots /= targetSteps * m_options.slots;
     return m_result;
 }
 
--- a/packages/policy/tests/queue_fleet.h
+++ b/packages/policy/tests/queue_fleet.h
@@ -18,6 +18,8 @@
     Duration reportDelay = std::chrono::milliseconds(40);  // after which other Vms know of a request
     Duration pollInterval = std::chrono::milliseconds(20); // of waiting requests
     bool measuresPart = true;                              // false: each Vm expects to get all slots
+    std::uint32_t targetQueue = 3;                         // requests that a target takes beyond its slots; it declines others
+    bool queuesAtTargets = true;                           // false: only after half of the longest wait
     std::uint64_t seed = 1;
 };
 
@@ -36,8 +38,9 @@
     std::size_t late = 0;          // answered after it
     std::size_t refusedAtOnce = 0; // without a wait
     std::size_t refusedLate = 0;   // after a wait
-    std::uint32_t longestTargetQueue = 0;
-    double targetQueue = 0; // mean number of requests in a target's own queue
+    std::size_t declined = 0;      // attempts that a target declined
+    double targetQueue = 0;        // mean number of requests in a target's own queue
+    double idleSlots = 0;          // mean part of the slots that were idle while requests waited
 };
 
 class QueueFleet
@@ -79,7 +82,7 @@
 
     void arrive(std::size_t vm, const std::vector<QueueTraffic> &traffic);
     void poll(Vm &vm, std::size_t index, std::uint64_t sequence);
-    bool trySend(Vm &vm, std::size_t index, TimePoint arrivedAt, bool hasWaitedLong);
+    bool trySend(Vm &vm, std::size_t index, TimePoint arrivedAt, bool isAtFront, bool hasWaitedLong);
     void refuse(bool hasWaited);
     void wake(Vm &vm);
     void leaveQueue(Vm &vm, std::uint64_t sequence);
--- a/packages/policy/tests/test_queue_wait.cpp
+++ b/packages/policy/tests/test_queue_wait.cpp
@@ -1,6 +1,7 @@
 // Which requests wait for a slot and which are refused at once, in virtual time.
 #include "queue_fleet.h"
 
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 
 using namespace Pollenspoke;
@@ -28,14 +29,19 @@
     for (const std::uint64_t seed : {1, 2, 3}) {
         options.seed = seed;
         const QueueFleetResult result = QueueFleet(options).run(traffic, time);
-        BOOST_TEST_MESSAGE("part measured: " << options.measuresPart << ", requests " << result.requests << ", served " << result.served
-                                             << ", late " << result.late << ", refused at once " << result.refusedAtOnce << ", later "
-                                             << result.refusedLate);
+        BOOST_TEST_MESSAGE("part measured: " << options.measuresPart << ", queues at targets: " << options.queuesAtTargets << ", requests "
+                                             << result.requests << ", served " << result.served << ", late " << result.late
+                                             << ", refused at once " << result.refusedAtOnce << ", later " << result.refusedLate
+                                             << ", declined " << result.declined << ", target queue " << result.targetQueue << ", idle "
+                                             << result.idleSlots);
         sum.requests += result.requests;
         sum.served += result.served;
         sum.late += result.late;
         sum.refusedAtOnce += result.refusedAtOnce;
         sum.refusedLate += result.refusedLate;
+        sum.declined += result.declined;
+        sum.targetQueue += result.targetQueue / 3;
+        sum.idleSlots += result.idleSlots / 3;
     }
     return sum;
 }
@@ -99,9 +105,9 @@
     BOOST_TEST((expectedQueueWait({.ahead = 9, .usualLatency = 200ms, .usableSlots = 20, .ownSlots = 1}) == 100ms));
     BOOST_TEST((expectedQueueWait({.ahead = 0, .usualLatency = 200ms, .usableSlots = 0}) == 200ms)); // no slot is usable now
     drain.noteWaiting(true, start + 100ms);                                                          // still waiting, not again
-    BOOST_TEST(drain.rate(start + 100ms).value() == 0.0);
-    drain.noteWaiting(false, start + 150ms);
-    BOOST_TEST(!drain.rate(start + 300ms));
+    BOOST_TEST(drain.rate(start + 250ms).value() == 0.0);
+    drain.noteWaiting(false, start + 300ms);
+    BOOST_TEST(!drain.rate(start + 600ms));
 }
 
 BOOST_AUTO_TEST_CASE(the_rate_is_that_of_the_last_second_with_waiting_requests)
@@ -147,3 +153,85 @@
     balancer.applyObservations({"other"}, {{.target = {"t0"}, .inFlight = 7}}, true, start);
     BOOST_TEST(balancer.ownSlots(start) == 0.5 + 4.0); // t0 holds 8 for 4 slots, t1 is free
 }
+
+// Reports are late, so that slots were idle while requests waited at another Vm, and targets were sent more than they queue.
+BOOST_AUTO_TEST_CASE(at_90_percent_load_a_request_queued_at_its_target_keeps_slots_in_use)
+{
+    QueueFleetOptions options{.targets = 13};
+    const std::vector<QueueTraffic> traffic{evenly(options, 0.9, 0s, 19s)};
+    const QueueFleetResult with = play(options, traffic, 20s);
+    options.queuesAtTargets = false;
+    const QueueFleetResult without = play(options, traffic, 20s);
+    BOOST_TEST(with.served > without.served);
+    BOOST_TEST(with.idleSlots < without.idleSlots);
+    BOOST_TEST(with.declined < without.declined);
+    BOOST_TEST(with.targetQueue < 1);
+}
+
+// Under overload, requests beyond the slots must not make targets decline more.
+BOOST_AUTO_TEST_CASE(in_overload_a_request_queued_at_its_target_costs_nothing)
+{
+    QueueFleetOptions options{.targets = 13};
+    const std::vector<QueueTraffic> traffic{evenly(options, 1.2, 0s, 9s)};
+    const QueueFleetResult with = play(options, traffic, 10s);
+    options.queuesAtTargets = false;
+    const QueueFleetResult without = play(options, traffic, 10s);
+    BOOST_TEST(static_cast<double>(with.served) >= 0.99 * static_cast<double>(without.served));
+    BOOST_TEST(static_cast<double>(with.declined) <= 1.1 * static_cast<double>(without.declined));
+}
+
+// A full target that is in any way restricted, or too slow for the request, must not get one more.
+BOOST_AUTO_TEST_CASE(one_request_is_queued_at_a_target_that_is_well_and_fast_enough)
+{
+    Generator generator(1);
+    const Target target{.name = {"t0"}, .address = {.ip = "10.0.0.1", .port = 80}, .slots = 2};
+    const ChoiceRequest waiting{.answerWithin = 500ms, .usualLatency = 200ms};
+    const auto fullBalancer = [&](const Target &only = Target{}) {
+        ServiceBalancer balancer; // with a usual latency of 200 ms
+        balancer.setTargets({only.name.value.empty() ? target : only}, start);
+        balancer.setLimitSharers({.self = {"vm"}, .vms = std::vector<VmName>{{"vm"}, {"other"}}, .fleetSize = 2}, start);
+        balancer.applyObservations({"other"}, {{.target = {"t0"}, .inFlight = 2}}, true, start);
+        return balancer;
+    };
+    ServiceBalancer well = fullBalancer();
+    BOOST_TEST(!well.choose({.usualLatency = 200ms}, start, generator));
+    BOOST_TEST(well.choose(waiting, start, generator).has_value());
+    BOOST_TEST(!well.choose(waiting, start, generator)); // one, as known from all Vms
+
+    ServiceBalancer slow = fullBalancer();
+    BOOST_TEST(!slow.choose({.answerWithin = 299ms, .usualLatency = 200ms}, start, generator)); // 100 ms in its queue, 200 ms of work
+    BOOST_TEST(slow.choose({.answerWithin = 300ms, .usualLatency = 200ms}, start, generator).has_value());
+
+    Target cold = target;
+    cold.warmupMs = 1000;
+    BOOST_TEST(!fullBalancer(cold).choose(waiting, start, generator));
+
+    ServiceBalancer limited = fullBalancer();
+    limited.announce({.name = target.name, .address = target.address}, {.limit = 100}, start);
+    BOOST_TEST(!limited.choose(waiting, start, generator));
+
+    ServiceBalancer returned = fullBalancer();
+    returned.applyObservations({"other"}, {{.target = {"t0"}, .inFlight = 2, .returnAge = 100ms}}, true, start);
+    BOOST_TEST(!returned.choose(waiting, start, generator));
+
+    ServiceBalancer failed = fullBalancer();
+    failed.applyObservations({"other"}, {{.target = {"t0"}, .inFlight = 2, .failures = 1, .failurePause = 1ms}}, true, start);
+    BOOST_TEST(!failed.choose(waiting, start + 400ms, generator)); // half-open
+
+    for (const std::vector<VmName> &vms : {std::vector<VmName>{}, std::vector<VmName>{{"vm"}}}) { // not known, alone
+        ServiceBalancer balancer = fullBalancer();
+        balancer.setLimitSharers({.self = {"vm"}, .vms = vms, .fleetSize = vms.size()}, start);
+        BOOST_TEST(!balancer.choose(waiting, start, generator));
+    }
+
+    std::vector<VmName> vms;
+    for (int i = 0; i < 8; ++i) {
+        vms.push_back({"vm-" + std::to_string(i)});
+    }
+    const auto queueing = std::count_if(vms.begin(), vms.end(), [&](const VmName &it) {
+        ServiceBalancer balancer = fullBalancer();
+        balancer.setLimitSharers({.self = it, .vms = vms, .fleetSize = vms.size()}, start);
+        return balancer.choose(waiting, start, generator).has_value();
+    });
+    BOOST_TEST(queueing == 2);
+}
--- a/packages/proxy/src/target_table.cpp
+++ b/packages/proxy/src/target_table.cpp
@@ -252,15 +252,17 @@
 }
 
 std::optional<Target>
-TargetTable::tryReserve(Entry &entry, const AcquireRequest &request, bool mayOvercommit, TargetReservation &reservation)
+TargetTable::tryReserve(Entry &entry, const AcquireRequest &request, const Overcommit &overcommit, TargetReservation &reservation)
 {
     const TimePoint now = m_clock.now();
     const std::uint32_t overcommitLimit = m_options.dispatch.targetQueue;
     const ChoiceRequest choice{.tried = request.tried,
                                .local = m_options.failureDomain,
-                               .overcommit = mayOvercommit ? std::max<std::uint32_t>(overcommitLimit, 1) : overcommitLimit,
+                               .overcommit = overcommit.isForced ? std::max<std::uint32_t>(overcommitLimit, 1) : overcommitLimit,
                                .limit = request.limit,
-                               .isRetryable = request.isRetryable};
+                               .isRetryable = request.isRetryable,
+                               .answerWithin = overcommit.answerWithin,
+                               .usualLatency = entry.balancer.usualLatency(request.route)};
     const std::uint64_t withheldBefore = entry.balancer.withheldChoices();
     std::optional<Target> target = entry.balancer.choose(choice, now, threadGenerator());
     if (target) {
@@ -299,7 +301,13 @@
             const bool isAtFront = queueEntry ? it.queue.first(1, now).front() == queued.sequence : waitersAhead == 0;
             const bool hasWaitedLong = queueEntry && now - requestedAt >= maxWait / 2;
             if (isAtFront || hasWaitedLong) {
-                if (std::optional<Target> target = tryReserve(it, request, hasWaitedLong && request.mayOvercommit, reservation)) {
+                const bool isForced = hasWaitedLong && request.mayOvercommit;
+                std::optional<Target> target = tryReserve(it, request, {.isForced = isForced}, reservation);
+                if (!target && isAtFront && !isForced && request.mayOvercommit && request.objective > Duration::zero()) {
+                    const TimePoint objectiveAt = request.arrivedAt.value_or(requestedAt) + request.objective;
+                    target = tryReserve(it, request, {.answerWithin = std::min(objectiveAt, request.deadline) - now}, reservation);
+                }
+                if (target) {
                     queueEntry ? it.queue.start(queued.sequence, now) : it.queue.noteStart(queued, now);
                     it.drain.noteStart(now);
                     co_return std::move(*target);
--- a/packages/proxy/src/target_table.h
+++ b/packages/proxy/src/target_table.h
@@ -128,7 +128,13 @@
     class QueueEntry;
 
     Entry &entry(const ServiceName &service);
-    std::optional<Target> tryReserve(Entry &entry, const AcquireRequest &request, bool mayOvercommit, TargetReservation &reservation);
+    struct Overcommit
+    {
+        bool isForced = false;   // at any target
+        Duration answerWithin{}; // time left to the objective, for which a target may queue the request; 0: none may
+    };
+    std::optional<Target>
+    tryReserve(Entry &entry, const AcquireRequest &request, const Overcommit &overcommit, TargetReservation &reservation);
     static Duration expectedWait(const Entry &entry, std::size_t waitersAhead, TimePoint now);
     static void wakeWaiters(Entry &entry, TimePoint now);
 
