Log: a refusal names service, rank and the requests waiting ahead

request_refused named the account only, so that a full queue couldn't be told from a service without slots.

--- a/packages/proxy/src/dispatcher.cpp
+++ b/packages/proxy/src/dispatcher.cpp
@@ -325,14 +325,13 @@
     return std::nullopt;
 }
 
-net::awaitable<std::optional<Refusal>>
-Dispatcher::acquireTarget(const DispatchRequest &request, const DispatchTrace &trace, Progress &progress)
+net::awaitable<std::optional<Refusal>> Dispatcher::acquireTarget(const DispatchRequest &request, DispatchTrace &trace, Progress &progress)
 {
     const ResolvedRequest &resolved = request.resolved;
     if (progress.retriesSameTarget && resolved.serviceName == progress.id.service && isUsable(*resolved.service, progress.id)) {
         co_return std::nullopt;
     }
-    const auto target = co_await acquireSlot(request, resolved, progress, progress.tried, true, progress.reservation);
+    const auto target = co_await acquireSlot(request, resolved, progress, progress.tried, true, progress.reservation, trace.waitingAhead);
     if (target) {
         progress.id = {resolved.serviceName, target->name, target->address, target->incarnation};
         co_return std::nullopt;
@@ -361,7 +360,8 @@
                                                                              const Progress &progress,
                                                                              std::vector<TargetName> tried,
                                                                              bool mayOvercommit,
-                                                                             TargetReservation &reservation)
+                                                                             TargetReservation &reservation,
+                                                                             std::optional<std::size_t> &waitingAhead)
 {
     const AcquireRequest acquireRequest{.service = resolved.serviceName,
                                         .route = resolved.routeName,
@@ -375,7 +375,7 @@
                                         .objective = milliseconds(resolved.route->objectiveMs),
                                         .deadline = request.deadline,
                                         .arrivedAt = progress.startedAt};
-    co_return co_await m_targets.acquire(acquireRequest, reservation);
+    co_return co_await m_targets.acquire(acquireRequest, reservation, waitingAhead);
 }
 
 void Dispatcher::recordFailure(const AttemptFailure &failure, Progress &progress)
@@ -632,7 +632,8 @@
         if (!isAtSameTarget) {
             // Only a free slot: at a full target, which may be this one, another attempt would wait behind the work that it replaces.
             TargetReservation reservation;
-            const auto target = co_await acquireSlot(request, replacement.resolved, progress, tried, false, reservation);
+            std::optional<std::size_t> waitingAhead;
+            const auto target = co_await acquireSlot(request, replacement.resolved, progress, tried, false, reservation, waitingAhead);
             const bool isOther = target && (target->name != attempt.id.target || replacement.resolved.service->targets.size() == 1);
             if (!isOther || isCancelled(co_await net::this_coro::cancellation_state)) {
                 co_return std::nullopt;
--- a/packages/proxy/src/dispatcher.h
+++ b/packages/proxy/src/dispatcher.h
@@ -25,10 +25,12 @@
 /// State of a dispatch that stays valid after the dispatch is cancelled.
 struct DispatchTrace
 {
-    bool mayHaveRun = false;  // a target may have executed the request
-    Duration timeAtTargets{}; // total time of all attempts, including connecting
-    AccountName account;      // empty until resolved
-    ServiceName service;      // empty until resolved
+    bool mayHaveRun = false;                 // a target may have executed the request
+    Duration timeAtTargets{};                // total time of all attempts, including connecting
+    AccountName account;                     // empty until resolved
+    ServiceName service;                     // empty until resolved
+    std::optional<std::uint32_t> rank;       // empty until resolved
+    std::optional<std::size_t> waitingAhead; // requests that went first when it last came to the queue; empty: it never did
 };
 
 /// For requests that a stopping Vm doesn't start. The caller may try another Vm at once.
@@ -132,13 +134,14 @@
     };
 
     std::optional<Refusal> resolveForRetry(DispatchRequest &request, const DispatchTrace &trace, Progress &progress) const;
-    net::awaitable<std::optional<Refusal>> acquireTarget(const DispatchRequest &request, const DispatchTrace &trace, Progress &progress);
+    net::awaitable<std::optional<Refusal>> acquireTarget(const DispatchRequest &request, DispatchTrace &trace, Progress &progress);
     net::awaitable<tl::expected<Target, AcquireFailure>> acquireSlot(const DispatchRequest &request,
                                                                      const ResolvedRequest &resolved,
                                                                      const Progress &progress,
                                                                      std::vector<TargetName> tried,
                                                                      bool mayOvercommit,
-                                                                     TargetReservation &reservation);
+                                                                     TargetReservation &reservation,
+                                                                     std::optional<std::size_t> &waitingAhead);
     bool isUsable(const Service &service, const TargetId &id) const; // listed as serving, and accepts requests
     bool reserveRetry(const ServiceName &service, TimePoint deadline, Progress &progress);
     static bool exceedsAttempts(const Progress &progress);
--- a/packages/proxy/src/session.cpp
+++ b/packages/proxy/src/session.cpp
@@ -97,14 +97,18 @@
 }
 
 void logRefusal(
-    const Refusal &refusal, const std::string &requestId, const AccountName &account, const std::string &path, Duration totalTime)
+    const Refusal &refusal, const std::string &requestId, const DispatchTrace &trace, const std::string &path, Duration totalTime)
 {
+    const auto number = [](const auto &value) { return value ? std::to_string(*value) : "none"; };
     const auto ms = [](Duration duration) { return std::to_string(std::chrono::duration_cast<milliseconds>(duration).count()); };
     logRequestEvent(Event::RequestRefused,
                     {{"request_id", requestId},
                      {"reason", std::string(refusalReasonName(refusal.reason))},
                      {"run", refusal.run == RunState::NotRun ? "not-run" : "unknown"},
-                     {"account", account.value},
+                     {"account", trace.account.value},
+                     {"service", trace.service.value},
+                     {"rank", number(trace.rank)},
+                     {"waiting_ahead", number(trace.waitingAhead)},
                      {"path", path},
                      {"after_ms", ms(totalTime)},
                      {"retry_after_ms", refusal.retryAfter ? ms(*refusal.retryAfter) : "none"}});
@@ -372,7 +376,7 @@
         m_shared.dispatcher.targets().recordOutcome(trace.service, refusal.has_value());
     }
     if (refusal) {
-        logRefusal(*refusal, requestId, trace.account, path, totalTime);
+        logRefusal(*refusal, requestId, trace, path, totalTime);
     }
     m_shared.dependencies.metrics.recordTiming(Timing::Total, totalTime);
     m_shared.dependencies.metrics.recordTiming(Timing::Added, totalTime - trace.timeAtTargets);
@@ -459,6 +463,7 @@
     }
     trace.account = resolved->caller.accountName;
     trace.service = resolved->serviceName;
+    trace.rank = resolved->effectivePriority();
     if (containsSecret(request.message.body().blocks, resolved->caller.secret)) {
         co_return Refusal{.reason = RefusalReason::KeyInContent};
     }
--- a/packages/proxy/src/target_table.cpp
+++ b/packages/proxy/src/target_table.cpp
@@ -275,7 +275,8 @@
     return target;
 }
 
-net::awaitable<tl::expected<Target, AcquireFailure>> TargetTable::acquire(const AcquireRequest &request, TargetReservation &reservation)
+net::awaitable<tl::expected<Target, AcquireFailure>>
+TargetTable::acquire(const AcquireRequest &request, TargetReservation &reservation, std::optional<std::size_t> &waitingAhead)
 {
     reservation = TargetReservation();
     const TimePoint requestedAt = m_clock.now();
@@ -298,6 +299,7 @@
                 co_return tl::unexpected(AcquireFailure::NoTarget);
             }
             const std::size_t waitersAhead = queueEntry ? 0 : it.queue.countAhead(queued, now);
+            waitingAhead = queueEntry ? waitingAhead : waitersAhead;
             const bool isAtFront = queueEntry ? it.queue.first(1, now).front() == queued.sequence : waitersAhead == 0;
             const bool hasWaitedLong = queueEntry && now - requestedAt >= maxWait / 2;
             if (isAtFront || hasWaitedLong) {
--- a/packages/proxy/src/target_table.h
+++ b/packages/proxy/src/target_table.h
@@ -80,8 +80,9 @@
     void setRetryShare(double share);
 
     /// Chooses a target and reserves a slot there. Waits in the service's queue as long as the request can still be answered in
-    /// time.
-    net::awaitable<tl::expected<Target, AcquireFailure>> acquire(const AcquireRequest &request, TargetReservation &reservation);
+    /// time. `waitingAhead` becomes the number of waiting requests that go first.
+    net::awaitable<tl::expected<Target, AcquireFailure>>
+    acquire(const AcquireRequest &request, TargetReservation &reservation, std::optional<std::size_t> &waitingAhead);
 
     /// Records what the target said about itself in an answer to the request.
     void announce(const TargetId &id, const TargetAnnouncement &announcement, const std::string &requestId);
