--- a/packages/proxy/src/target_table.h
+++ b/packages/proxy/src/target_table.h
@@ -97,8 +97,9 @@
     DemandUpdates demandUpdates();
 
     /// Chooses a target and reserves a slot there. Waits in the service's queue as long as the request can still be answered in
-    /// time.
-    net::awaitable<tl::expected<Target, AcquireFailure>> acquire(const AcquireRequest &request, TargetReservation &reservation);
+    /// time. `waitingAhead` becomes the number of waiting requests that go first.
+    net::awaitable<tl::expected<Target, AcquireFailure>>
+    acquire(const AcquireRequest &request, TargetReservation &reservation, std::optional<std::size_t> &waitingAhead);
 
     /// Records what the target said about itself in an answer to the request.
     void announce(const TargetId &id, const TargetAnnouncement &announcement, const std::string &requestId);
@@ -168,7 +169,13 @@
     Entry &entry(const ServiceName &service);
     std::optional<VmHealthChange> updateHealth(TimePoint now); // with the table locked; to be passed to recordHealthChange() afterwards
     void recordHealthChange(const std::optional<VmHealthChange> &change);
-    std::optional<Target> tryReserve(Entry &entry, const AcquireRequest &request, bool mayOvercommit, TargetReservation &reservation);
+    struct Overcommit
+    {
+        bool isForced = false;   // at any target
+        Duration answerWithin{}; // time left to the objective, for which a target may queue the request; 0: none may
+    };
+    std::optional<Target>
+    tryReserve(Entry &entry, const AcquireRequest &request, const Overcommit &overcommit, TargetReservation &reservation);
     static Duration expectedWait(const Entry &entry, std::size_t waitersAhead, TimePoint now);
     static HedgeConditions hedgeConditions(const Entry &entry, TimePoint now);
     static void wakeWaiters(Entry &entry, TimePoint now);
