--- a/packages/fleet/tests/test_link.cpp
+++ b/packages/fleet/tests/test_link.cpp
@@ -122,6 +122,26 @@
     BOOST_TEST(!unknown.departures.has_value()); // not the same as: no target left
 }
 
+// Guards against a field that is sent and not read: the return of a target never reached the other Vms.
+BOOST_AUTO_TEST_CASE(each_field_of_a_target_report_is_read_as_it_was_sent)
+{
+    const TargetObservation sent{.target = {"t-1"},
+                                 .inFlight = 3,
+                                 .failures = 2,
+                                 .failurePause = std::chrono::milliseconds(1500),
+                                 .returnAge = std::chrono::milliseconds(40),
+                                 .unreachablePause = std::chrono::milliseconds(700),
+                                 .leavingIncarnation = 17,
+                                 .limit = LimitReport{.incarnation = 18, .limit = 2.5, .age = std::chrono::milliseconds(60)}};
+    const auto decoded
+        = decodeDatagram(encodeDatagram(sender, StatusReport{.targetReports = TargetUpdates{{{"s-1"}, {sent, {.target = {"t-2"}}}}}}));
+    BOOST_REQUIRE(decoded.has_value());
+    const auto &status = std::get<StatusReport>(decoded->second);
+    BOOST_REQUIRE(status.targetReports.has_value());
+    const std::vector<TargetObservation> expected{sent, {.target = {"t-2"}}};
+    BOOST_TEST((status.targetReports->at({"s-1"}) == expected));
+}
+
 // A Vm of an earlier version sends no such field, and counts as healthy.
 BOOST_AUTO_TEST_CASE(a_status_report_says_whether_its_sender_is_impaired)
 {
