Queue: a target that is cold by its answers isn't sent one request beyond its slots

Only the former warm-up of the registration was looked at, not the one that a target's answers state or that may be missing in the store.

Tests: policy.queue_wait passes. policy.balancer fails in a_target_that_has_just_returned_gets_no_more_requests_than_it_has_slots, which sets none of the fields that this change reads.

--- a/packages/policy/src/balancer.cpp
+++ b/packages/policy/src/balancer.cpp
@@ -587,7 +587,7 @@
     const bool isReturning = member.returnedAt != TimePoint() && now - member.returnedAt < m_options.returnTime;
     const Announced *announced = findAnnounced(member);
     const bool isLimited = announced != nullptr && announced->limit.limit();
-    if (member.isHalfOpen || hasFailed(member) || isReturning || isLimited || member.warmupUntil > now
+    if (member.isHalfOpen || hasFailed(member) || isReturning || isLimited || member.warmupUntil > now || member.warmup.isCold(now)
         || avoidedUntil(member, request, now) > now || isPossiblyStuck(member, now)) {
         return false;
     }
--- a/packages/policy/tests/test_queue_wait.cpp
+++ b/packages/policy/tests/test_queue_wait.cpp
@@ -206,6 +206,10 @@
     cold.warmupMs = 1000;
     BOOST_TEST(!fullBalancer(cold).choose(waiting, start, generator));
 
+    ServiceBalancer coldByAnswer = fullBalancer();
+    coldByAnswer.announce({.name = target.name, .address = target.address}, {.warmup = 1s}, start);
+    BOOST_TEST(!coldByAnswer.choose(waiting, start, generator));
+
     ServiceBalancer limited = fullBalancer();
     limited.announce({.name = target.name, .address = target.address}, {.limit = 100}, start);
     BOOST_TEST(!limited.choose(waiting, start, generator));
