--- a/packages/policy/tests/test_queue_wait.cpp
+++ b/packages/policy/tests/test_queue_wait.cpp
@@ -229,6 +229,7 @@
     }
 
     std::vector<VmName> vms;
+    vms.reserve(8);
     for (int i = 0; i < 8; ++i) {
         vms.push_back({"vm-" + std::to_string(i)});
     }
