--- a/packages/policy/include/pollenspoke/policy.h
+++ b/packages/policy/include/pollenspoke/policy.h
@@ -689,9 +689,10 @@
 // - The target is half-open meanwhile: it holds one request at a time until `returnAnswers` have been answered. For `returnTime` after
 // that,
 //   only as many Vms as it has slots use it, with one request each.
-// - A target may queue one request beyond its slots, so that it begins the next one when it ends one, and not only when the Vms have learned
-//   of that. Only the first two Vms by returnRank() send it, only to a target that is well, and only if the request is still expected to meet
-//   its objective.
+// - A target may queue one request beyond its slots, so that it begins the next one when it ends one, and not only when the Vms have
+// learned
+//   of that. Only the first two Vms by returnRank() send it, only to a target that is well, and only if the request is still expected to
+//   meet its objective.
 // - Floors keep a minimum share of the serving targets in use, whatever their failures.
 // - Announcements of the target itself bind the Vm that received them, whatever the floors: no request begins at an instance that said
 //   that it is leaving, or before the end of a pause that it asked for. What other Vms report of its leaving is evidence like any
--- a/packages/policy/src/balancer.cpp
+++ b/packages/policy/src/balancer.cpp
@@ -423,7 +423,9 @@
 // While slots are short, a shorter pause costs less than idle targets.
 TimePoint ServiceBalancer::failurePauseEnd(const Member &member, TimePoint now) const
 {
-    return hasFailed(member) ? member.failedAt + (isShortOfSlots(now) ? m_options.shortagePause : m_options.failurePause) : TimePoint();
+    return hasFailed(member)
+        ? member.failedAt + (isShortOfSlots(now) ? std::min(m_options.shortagePause, m_options.failurePause) : m_options.failurePause)
+        : TimePoint();
 }
 
 // When this Vm may try a target that failed with the request; in the past if it hasn't failed.
