Tests: ports below the range of outgoing connections

apps.fleet and platform.lost_seats failed once each beside other tests: the port that a process was to listen on had been taken by an outgoing connection of another test (listen_failed, address in use). Ports are now taken from 10000 to 32000.

--- a/apps/tests/processes.cpp
+++ b/apps/tests/processes.cpp
@@ -5,6 +5,7 @@
 #include <fcntl.h>
 #include <filesystem>
 #include <fstream>
+#include <random>
 #include <set>
 #include <spawn.h>
 #include <sstream>
@@ -80,18 +81,30 @@
 
 } // namespace
 
+// Below the range from which the kernel takes the ports of outgoing connections: one of those was taken by another test between this call
+// and the start of the process that listens.
 std::uint16_t findFreePort()
 {
-    const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    socklen_t length = sizeof(address);
-    const int bindResult = ::bind(fd, reinterpret_cast<sockaddr *>(&address), length);
-    const int nameResult = ::getsockname(fd, reinterpret_cast<sockaddr *>(&address), &length);
-    ::close(fd);
-    POLLENSPOKE_ASSERT(bindResult == 0 && nameResult == 0, "the tests need a free port on 127.0.0.1");
-    return ntohs(address.sin_port);
+    constexpr std::uint16_t firstPort = 10000;
+    constexpr std::uint16_t lastPort = 32000;
+    static std::mt19937 generator{std::random_device{}()};
+    std::uniform_int_distribution<std::uint16_t> ports(firstPort, lastPort);
+    constexpr int maxTries = 1000;
+    for (int i = 0; i < maxTries; ++i) {
+        const std::uint16_t port = ports(generator);
+        const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_port = htons(port);
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        const int bindResult = ::bind(fd, reinterpret_cast<sockaddr *>(&address), sizeof(address));
+        ::close(fd);
+        if (bindResult == 0) {
+            return port;
+        }
+    }
+    POLLENSPOKE_ASSERT(false, "the tests need a free port on 127.0.0.1");
+    return 0;
 }
 
 ScratchFolder::ScratchFolder()
--- a/apps/tests/processes.h
+++ b/apps/tests/processes.h
@@ -9,7 +9,7 @@
 
 namespace Pollenspoke {
 
-std::uint16_t findFreePort(); // on 127.0.0.1, chosen by the kernel
+std::uint16_t findFreePort(); // on 127.0.0.1, not of the range of outgoing connections
 
 /// A temporary folder, removed with its contents on destruction.
 class ScratchFolder
--- a/packages/proxy/tests/scripted_target.cpp
+++ b/packages/proxy/tests/scripted_target.cpp
@@ -5,6 +5,7 @@
 #include <boost/algorithm/string/case_conv.hpp>
 #include <boost/algorithm/string/trim.hpp>
 #include <poll.h>
+#include <random>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -259,11 +260,27 @@
     };
 }
 
+// Below the range from which the kernel takes the ports of outgoing connections: one of those was taken by another test before the Vm that
+// was to listen there had started.
 Address closedPortAddress()
 {
-    Address address{.ip = "127.0.0.1"};
-    ::close(listenOnLoopback(address.port));
-    return address;
+    constexpr std::uint16_t firstPort = 10000;
+    constexpr std::uint16_t lastPort = 32000;
+    static std::mt19937 generator{std::random_device{}()};
+    std::uniform_int_distribution<std::uint16_t> ports(firstPort, lastPort);
+    for (;;) {
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        const std::uint16_t port = ports(generator);
+        address.sin_port = htons(port);
+        const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        const bool isFree = ::bind(fd, reinterpret_cast<sockaddr *>(&address), sizeof(address)) == 0;
+        ::close(fd);
+        if (isFree) {
+            return {.ip = "127.0.0.1", .port = port};
+        }
+    }
 }
 
 UnansweredListener::UnansweredListener()
