--- a/packages/fleet/tests/test_configuration.cpp
+++ b/packages/fleet/tests/test_configuration.cpp
@@ -287,7 +287,7 @@
     BOOST_TEST(!configuration.hasEvacuations());
     configuration.replaceEvacuations({.position = {1, 5}}, start);
     BOOST_TEST(configuration.hasEvacuations());
-    BOOST_TEST((evacuated() == Names{}));
+    BOOST_TEST(evacuated().empty());
     configuration.applyEvacuationChange({.document = makeEvacuation("fd-a", 11), .position = {1, 11}}, start);
     BOOST_TEST((evacuated() == Names{"a"}));
     BOOST_TEST(metrics.value(Gauge::EvacuatedDomains) == 1);
@@ -312,7 +312,7 @@
     configuration.replaceEvacuations({.position = {1, 30}, .items = {makeEvacuation("fd-b", 18)}}, start);
     BOOST_TEST((evacuated() == Names{"b"}));
     configuration.replaceEvacuations({.position = {2, 3}}, start);
-    BOOST_TEST((evacuated() == Names{}));
+    BOOST_TEST(evacuated().empty());
 }
 
 // Guards against an unreadable entry that hides the others.
@@ -332,13 +332,13 @@
 {
     configuration.replaceEvacuations({.position = {1, 9}}, start);
     configuration.applyEvacuationChange({.document = makeEvacuation("fd-a", 11), .position = {1, 11}}, start);
-    BOOST_TEST((unknownWarmup() == Names{}));
+    BOOST_TEST(unknownWarmup().empty());
     configuration.applyEvacuationChange({.isDeleted = true, .document = makeEvacuation("fd-a"), .position = {1, 20}}, start);
     BOOST_TEST((unknownWarmup() == Names{"a"}));
     BOOST_TEST(!configuration.noteTargetsKnown({1, 19}));
     BOOST_TEST((unknownWarmup() == Names{"a"}));
     BOOST_TEST(configuration.noteTargetsKnown({1, 20}));
-    BOOST_TEST((unknownWarmup() == Names{}));
+    BOOST_TEST(unknownWarmup().empty());
     BOOST_TEST(!configuration.noteTargetsKnown({1, 21}));
 }
 
@@ -348,9 +348,9 @@
     configuration.replaceEvacuations({.position = {1, 12}, .items = {makeEvacuation("fd-b")}}, start);
     BOOST_TEST((unknownWarmup() == Names{"a"}));
     BOOST_TEST(configuration.noteTargetsKnown({1, 12}));
-    BOOST_TEST((unknownWarmup() == Names{}));
+    BOOST_TEST(unknownWarmup().empty());
     configuration.replaceEvacuations({.position = {2, 1}, .items = {makeEvacuation("fd-b")}}, start);
     BOOST_TEST((unknownWarmup() == Names{"a"}));
     configuration.replaceTargets({.position = {2, 1}, .items = {makeTargetIn("fd-a", "a")}}, start);
-    BOOST_TEST((unknownWarmup() == Names{}));
+    BOOST_TEST(unknownWarmup().empty());
 }
