--- a/packages/policy/tests/test_vm_capacity.cpp
+++ b/packages/policy/tests/test_vm_capacity.cpp
@@ -20,6 +20,7 @@
 std::vector<VmName> names(const std::vector<std::string> &texts)
 {
     std::vector<VmName> result;
+    result.reserve(texts.size());
     for (const std::string &it : texts) {
         result.push_back({it});
     }
