--- a/packages/proxy/tests/test_admission_by_rank.cpp
+++ b/packages/proxy/tests/test_admission_by_rank.cpp
@@ -40,7 +40,7 @@
 void sendWave(ProxyFixture &fixture, Outcome &outcome)
 {
     std::vector<std::thread> threads;
-    threads.reserve(2 * callers);
+    threads.reserve(static_cast<std::size_t>(2) * callers);
     for (int i = 0; i < 2 * callers; ++i) {
         threads.emplace_back([&fixture, &outcome, i] {
             const std::string path = i % 2 == 0 ? "/work" : "/low";
--- a/packages/proxy/tests/test_evacuation.cpp
+++ b/packages/proxy/tests/test_evacuation.cpp
@@ -122,9 +122,11 @@
     options.wire.warmupHeader = "X-Warmup-Ms";
     ProxyFixture fixture({.targets = {cold.address()}, .proxy = options});
     applyServices(fixture, 2, [](Service &service) { service.warmupRatePerSecond = rate; });
+    constexpr std::size_t callerCount = 6;
     std::vector<std::thread> callers;
+    callers.reserve(callerCount);
     const auto endsAt = std::chrono::steady_clock::now() + 3s;
-    for (int i = 0; i < 6; ++i) {
+    for (std::size_t i = 0; i < callerCount; ++i) {
         callers.emplace_back([&] {
             while (std::chrono::steady_clock::now() < endsAt) {
                 RawCaller(fixture.port()).request("GET", "/work");
