--- a/packages/policy/tests/queue_fleet.cpp
+++ b/packages/policy/tests/queue_fleet.cpp
@@ -1,5 +1,7 @@
 #include "queue_fleet.h"
 
+#include <boost/test/unit_test.hpp>
+
 #include <algorithm>
 
 namespace Pollenspoke {
@@ -204,4 +206,38 @@
     return m_result;
 }
 
+double capacityOf(const QueueFleetOptions &options)
+{
+    return static_cast<double>(options.targets) * options.slots / std::chrono::duration<double>(options.workTime).count();
+}
+
+QueueTraffic evenly(const QueueFleetOptions &options, double load, Duration from, Duration until)
+{
+    const double each = capacityOf(options) * load / static_cast<double>(options.vms);
+    return {.perSecond = std::vector<double>(options.vms, each), .from = from, .until = until};
+}
+
+QueueFleetResult play(QueueFleetOptions options, const std::vector<QueueTraffic> &traffic, Duration time)
+{
+    QueueFleetResult sum;
+    for (const std::uint64_t seed : {1, 2, 3}) {
+        options.seed = seed;
+        const QueueFleetResult result = QueueFleet(options).run(traffic, time);
+        BOOST_TEST_MESSAGE("part measured: " << options.measuresPart << ", queues at targets: " << options.queuesAtTargets << ", requests "
+                                             << result.requests << ", served " << result.served << ", late " << result.late
+                                             << ", refused at once " << result.refusedAtOnce << ", later " << result.refusedLate
+                                             << ", declined " << result.declined << ", target queue " << result.targetQueue << ", idle "
+                                             << result.idleSlots);
+        sum.requests += result.requests;
+        sum.served += result.served;
+        sum.late += result.late;
+        sum.refusedAtOnce += result.refusedAtOnce;
+        sum.refusedLate += result.refusedLate;
+        sum.declined += result.declined;
+        sum.targetQueue += result.targetQueue / 3;
+        sum.idleSlots += result.idleSlots / 3;
+    }
+    return sum;
+}
+
 } // namespace Pollenspoke
--- a/packages/policy/tests/queue_fleet.h
+++ b/packages/policy/tests/queue_fleet.h
@@ -102,4 +102,8 @@
     QueueFleetResult m_result;
 };
 
+double capacityOf(const QueueFleetOptions &options); // requests/s that all targets together can answer
+QueueTraffic evenly(const QueueFleetOptions &options, double load, Duration from = Duration(0), Duration until = std::chrono::hours(1));
+QueueFleetResult play(QueueFleetOptions options, const std::vector<QueueTraffic> &traffic, Duration time); // sums of three seeds
+
 } // namespace Pollenspoke
