--- a/packages/proxy/tests/test_hedged_requests.cpp
+++ b/packages/proxy/tests/test_hedged_requests.cpp
@@ -158,7 +158,7 @@
     BOOST_TEST(targets.attempts() == 2);
     BOOST_TEST(counts.sent() == 1U);
     BOOST_TEST(counts.won() == 1U);
-    BOOST_TEST(caller.request("GET", "/work/warm").body == "warm"); // may be hedged as well, on a busy machine
+    BOOST_TEST(caller.request("GET", "/work/warm").body == "warm");   // may be hedged as well, on a busy machine
     BOOST_TEST(countFailures(fixture.proxy().targetUpdates()) == 0U); // the loser is no evidence against its target
     BOOST_TEST(eventually([&] { return countInFlight(fixture.proxy().targetUpdates()) == 0; }));
     BOOST_TEST(eventually([&] { return fixture.metrics().value(Counter::AnswersWhole) == static_cast<std::uint64_t>(warmRequests) + 2; }));
