Proxy: a response without length that was reset isn't complete

What callers saw: a target answered a long upload at once with a 200 without length, sent part of the body and reset the connection while the upload was still being written. The caller got the part as a whole answer.

Cause: the kernel reports a reset once. While the request is sent beside receiving, the failed send takes the error, and the next receive returns the end of the stream. The parser takes this for the end of a body without length. The send's error was dropped.

Fix: the end of the stream ends a body without length only with proof of a close. Once the whole request was written, no send can have taken the error, so that the receive is right. Before that, the kernel must show the state that a connection has after the target's FIN and no reset. Neither depends on which operation comes first. Otherwise the answer is incomplete: sent again if that is allowed, else 502, run unknown; one that is being passed on is cut. A response with a length or in chunks isn't affected.

A target that closes at once, not only its side, and resets what arrives afterwards can't be told from a reset while the request is being written: that answer is refused, too.

--- a/packages/proxy/src/target_connection.cpp
+++ b/packages/proxy/src/target_connection.cpp
@@ -1,6 +1,7 @@
 #include "target_connection.h"
 
 #include <boost/asio/experimental/awaitable_operators.hpp>
+#include <netinet/tcp.h>
 
 namespace Pollenspoke {
 
@@ -139,7 +140,21 @@
     if (ec && ec != http::error::need_buffer) {
         co_return toReceiveError(ec);
     }
-    co_return std::nullopt;
+    m_isCut = m_parser->is_done() && m_parser->need_eof() && !hasOrderlyEnd();
+    co_return m_isCut ? std::optional(ReceiveError::ConnectionClosed) : std::nullopt;
+}
+
+// The kernel reports a reset once, to a send or to a receive. A receive that follows a failed send returns the end of the stream, so that
+// alone doesn't tell a close from a reset. After a successful send of the whole request, no send can have taken the error; before that,
+// only the state of the connection shows that the target has closed its side.
+bool TargetConnection::hasOrderlyEnd()
+{
+    if (m_hasSentAll) {
+        return true;
+    }
+    tcp_info info{};
+    socklen_t n = sizeof(info);
+    return ::getsockopt(m_stream.socket().native_handle(), IPPROTO_TCP, TCP_INFO, &info, &n) == 0 && info.tcpi_state == TCP_CLOSE_WAIT;
 }
 
 // A parser that has parsed a part of the header has consumed it from the buffer.
@@ -175,7 +190,7 @@
 
 bool TargetConnection::isComplete() const
 {
-    return m_parser && m_parser->is_done();
+    return m_parser && m_parser->is_done() && !m_isCut;
 }
 
 bool TargetConnection::isReusable() const
--- a/packages/proxy/src/target_connection.h
+++ b/packages/proxy/src/target_connection.h
@@ -75,6 +75,7 @@
     using Parser = http::response_parser<http::buffer_body>;
 
     void setResetOnClose(bool resets);
+    bool hasOrderlyEnd(); // the end of the stream that was received is a close by the target, not a reset
     ReceiveError toReceiveError(const SystemError &ec) const;
 
     ConnectionOptions m_options;
@@ -83,6 +84,7 @@
     std::optional<Parser> m_parser;
     bool m_hasSentAll = false;
     bool m_hasReceivedBytes = false;
+    bool m_isCut = false; // a body without length ended by what may have been a reset
     std::uint64_t m_bodyBytes = 0;
 };
 
--- a/packages/proxy/tests/scripted_target.cpp
+++ b/packages/proxy/tests/scripted_target.cpp
@@ -98,7 +98,7 @@
     return true;
 }
 
-std::optional<ReceivedRequest> AcceptedConnection::readRequest()
+std::optional<ReceivedRequest> AcceptedConnection::readHead()
 {
     std::size_t end = std::string::npos;
     while ((end = m_buffer.find("\r\n\r\n")) == std::string::npos) {
@@ -110,7 +110,16 @@
     }
     ReceivedRequest request{.head = m_buffer.substr(0, end + 4)};
     m_buffer.erase(0, end + 4);
-    const std::string length = request.header("Content-Length");
+    return request;
+}
+
+std::optional<ReceivedRequest> AcceptedConnection::readRequest()
+{
+    std::optional<ReceivedRequest> request = readHead();
+    if (!request) {
+        return std::nullopt;
+    }
+    const std::string length = request->header("Content-Length");
     const std::size_t n = length.empty() ? 0 : std::stoul(length);
     while (m_buffer.size() < n) {
         const std::optional<std::string> chunk = readSome();
@@ -119,7 +128,7 @@
         }
         m_buffer += *chunk;
     }
-    request.body = m_buffer.substr(0, n);
+    request->body = m_buffer.substr(0, n);
     m_buffer.erase(0, n);
     return request;
 }
@@ -141,6 +150,11 @@
     send(makeResponse(body, echoesId ? "Pollenspoke-Request-Id: " + id + "\r\n" : ""));
 }
 
+void AcceptedConnection::shutdownWrite()
+{
+    ::shutdown(m_fd, SHUT_WR);
+}
+
 void AcceptedConnection::closeNow()
 {
     if (m_fd >= 0) {
--- a/packages/proxy/tests/scripted_target.h
+++ b/packages/proxy/tests/scripted_target.h
@@ -37,11 +37,13 @@
 
     std::size_t number() const { return m_number; }                    // index in the order of acceptance, from 0
     std::optional<ReceivedRequest> readRequest();                      // nullopt: closed by the proxy
+    std::optional<ReceivedRequest> readHead();                         // leaves the body unread; nullopt: closed by the proxy
     std::optional<std::string> readSome(std::size_t maxBytes = 65536); // as received; nullopt: closed by the proxy
     bool readBytes(std::size_t n);                                     // reads exactly n; false: closed by the proxy before that
     void send(std::string_view bytes);
     void respond(const ReceivedRequest &request, const std::string &body, bool echoesId = true); // 200 with Content-Length
-    void closeNow();                                                                             // FIN
+    void shutdownWrite();                                                                        // FIN; input can still be read
+    void closeNow();                                                                             // FIN, or RST if input is unread
     void reset();                                                                                // RST
     void readUntilClose();               // discards input until the proxy closes or the target is destroyed
     void waitForCloseWithoutReading();   // leaves input in the receive buffer, so that the window fills up
