Proxy: the fields of a trailer aren't passed on in the head

What callers saw: a response in chunks that was held until it was whole had the fields of its trailer in its head. A Content-Encoding or Location there changes what the body means. Responses that are passed on as they arrive never had them.

Cause: the parser adds the fields of a trailer to those of the head, and the head was copied after the body.

Evidence: proxy.field_names, a_trailer_is_not_passed_on_in_the_head: 4 of 4 fields were in the head before.

Fix: the head is copied before the body is received. Invalid fields in a trailer were refused already; their case is kept.

--- a/packages/proxy/src/dispatcher.cpp
+++ b/packages/proxy/src/dispatcher.cpp
@@ -1177,6 +1177,7 @@
     const std::uint64_t maxBufferedBytes = m_options.dispatch.wholeAnswerBytes;
     const std::optional<std::uint64_t> length = connection.contentLength();
     BodyLease lease(m_bodyMemory, request.resolved.caller.accountName);
+    http::response_header<> header = connection.header(); // the parser adds the fields of a trailer to its own
     std::string body;
     // A response that doesn't fit is passed on as it arrives.
     bool hasRoom = !length || (*length <= maxBufferedBytes && lease.coverUpTo(*length));
@@ -1196,7 +1197,7 @@
     if (!connection.isComplete()) {
         co_return co_await streamBody(request, connection, std::move(body), reply);
     }
-    co_return BufferedResponse{.header = connection.header(), .body = std::move(body), .lease = std::move(lease)};
+    co_return BufferedResponse{.header = std::move(header), .body = std::move(body), .lease = std::move(lease)};
 }
 
 net::awaitable<Dispatcher::AttemptResult>
