Proxy: a response with a line that begins with a blank is unreadable

What callers saw: a field whose name begins with a blank or a tab counted as the continuation of the field before and was passed on in its value. With " Content-Length: 4" or " Transfer-Encoding: chunked" the body had no length any more: callers got the chunks' framing as a part of the body, or waited until the target closed.

Cause: Beast's parser joins such lines (obs-fold of RFC 7230, which RFC 9112 lets a proxy refuse with 502) before the fields can be looked at.

The other invalid fields (a blank, tab, NUL, 0x01, 0x0b, CR, LF, 0x7f, a high byte in the name, none, no colon, control bytes in the value), also in a 103, were refused before; their cases are kept.

Fix: the bytes that the parser consumed for fields of the head are searched for a folded line. It consumes a field with its continuation lines in one step, so that no fold is missed where the head arrives in pieces.

--- a/packages/proxy/src/target_connection.cpp
+++ b/packages/proxy/src/target_connection.cpp
@@ -17,6 +17,11 @@
 constexpr std::size_t maxReadAhead = 65536; // of a body; a chunk's header or a trailer may not be longer than this and a header block
 constexpr std::size_t minReadBytes = 4096;  // first read of a body of unknown length; doubles with each read
 
+bool hasFoldedLine(std::string_view text)
+{
+    return text.find("\r\n ") != std::string_view::npos || text.find("\r\n\t") != std::string_view::npos;
+}
+
 } // namespace
 
 TargetConnection::TargetConnection(net::any_io_executor executor, const ConnectionOptions &options)
@@ -99,7 +104,15 @@
 {
     SystemError ec = http::error::need_more;
     if (m_buffer.size() != 0) {
-        m_buffer.consume(m_parser->put(m_buffer.cdata(), ec));
+        const net::const_buffer received = m_buffer.cdata();
+        const bool isInHeader = !m_parser->is_header_done();
+        const std::size_t n = m_parser->put(received, ec);
+        // The parser would append a line that begins with a blank to the field before: a broken Content-Length or Transfer-Encoding would
+        // be passed on there, and not delimit the body. A field and its continuation lines are parsed in one step.
+        if (isInHeader && hasFoldedLine({static_cast<const char *>(received.data()), n})) {
+            co_return http::error::bad_field;
+        }
+        m_buffer.consume(n);
     }
     if (ec != http::error::need_more) {
         co_return ec;
--- a/packages/proxy/tests/test_field_names.cpp
+++ b/packages/proxy/tests/test_field_names.cpp
@@ -44,6 +44,20 @@
                                              "Transfer\x0b"s + "Encoding: chunked",
                                              "Connection\x01: close"};
 
+std::string echoedId(const ReceivedRequest &request)
+{
+    return "Pollenspoke-Request-Id: " + request.header("Pollenspoke-Request-Id") + "\r\n";
+}
+
+// A response with the field before and after valid ones.
+std::vector<std::string> makeResponses(const std::string &field, const std::string &validFields, const std::string &body)
+{
+    const std::string length = "Content-Length: " + std::to_string(body.size()) + "\r\n";
+    return {statusLine + field + "\r\n" + length + validFields + "\r\n" + body,
+            statusLine + length + validFields + field + "\r\n\r\n" + body,
+            "HTTP/1.1 103 Early Hints\r\n" + field + "\r\n\r\n" + statusLine + length + validFields + "\r\n" + body};
+}
+
 ScriptedTarget::Script respondChunked(const std::string &trailerField)
 {
     return [trailerField](AcceptedConnection &connection) {
@@ -70,6 +84,106 @@
 
 } // namespace
 
+BOOST_AUTO_TEST_CASE(a_response_with_an_invalid_field_is_unreadable)
+{
+    for (const std::string &field : invalidFields) {
+        for (std::size_t place = 0; place < 3; ++place) {
+            ScriptedTarget target([&](AcceptedConnection &connection) {
+                if (const auto request = connection.readRequest()) {
+                    connection.send(makeResponses(field, echoedId(*request), "body")[place]);
+                    connection.readUntilClose();
+                }
+            });
+            ProxyFixture fixture({.targets = {target.address()}, .proxy = acceptUnframed(), .routeFields = singleAttempt});
+            RawCaller caller(fixture.port());
+            for (const std::string method : {"GET", "POST", "HEAD"}) {
+                BOOST_TEST_CONTEXT(method << ", place " << place << ": " << field)
+                {
+                    const RawCaller::Response response = caller.request(method, "/work", method == "POST" ? "body" : "");
+                    BOOST_TEST(response.status == 502U);
+                    BOOST_TEST(response.header("Pollenspoke-Run") == "unknown");
+                }
+            }
+            BOOST_TEST(target.connectionCount() == 3U); // none is used again
+        }
+    }
+}
+
+// The parser sees the head in two pieces, whatever the place of the cut.
+BOOST_AUTO_TEST_CASE(a_response_with_an_invalid_field_that_arrives_in_pieces_is_unreadable)
+{
+    for (const std::string &field : invalidFields) {
+        for (const std::string &before : {""s, "X-Valid: 1\r\n"s}) {
+            const std::string answer = statusLine + before + field + "\r\nContent-Length: 4\r\n\r\nbody";
+            const std::size_t start = statusLine.size() + before.size();
+            std::atomic<std::size_t> cut = start;
+            ScriptedTarget target([&](AcceptedConnection &connection) {
+                if (connection.readRequest()) {
+                    connection.send(answer.substr(0, cut));
+                    std::this_thread::sleep_for(2ms);
+                    connection.send(answer.substr(cut));
+                    connection.readUntilClose();
+                }
+            });
+            ProxyFixture fixture({.targets = {target.address()}, .proxy = acceptUnframed(), .routeFields = singleAttempt});
+            RawCaller caller(fixture.port());
+            for (cut = start; cut <= start + field.size() + 2; ++cut) {
+                BOOST_TEST_CONTEXT("cut at " << cut << ": " << before << field)
+                {
+                    checkUnreadable(caller.request("GET", "/work"));
+                }
+            }
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_kept_connection_ends_with_an_invalid_field)
+{
+    for (const std::string &field : invalidFields) {
+        ScriptedTarget target([&field](AcceptedConnection &connection) {
+            if (const auto request = connection.readRequest()) {
+                connection.respond(*request, "healthy");
+            }
+            if (const auto request = connection.readRequest()) {
+                connection.send(makeResponses(field, echoedId(*request), "body")[1]);
+                connection.readUntilClose();
+            }
+        });
+        ProxyFixture fixture({.targets = {target.address()}, .proxy = acceptUnframed(), .routeFields = singleAttempt});
+        RawCaller caller(fixture.port());
+        BOOST_TEST_CONTEXT(field)
+        {
+            BOOST_TEST(caller.request("GET", "/work").status == 200U);
+            checkUnreadable(caller.request("GET", "/work"));
+            BOOST_TEST(target.connectionCount() == 1U);
+            BOOST_TEST(caller.request("GET", "/work").status == 200U);
+            BOOST_TEST(target.connectionCount() == 2U);
+        }
+    }
+}
+
+// A long response is passed on as it arrives, so its head can't be taken back.
+BOOST_AUTO_TEST_CASE(a_streamed_response_with_an_invalid_field_is_not_begun)
+{
+    for (const std::string &field : invalidFields) {
+        for (const std::string &framing : {"Content-Length: 4000000\r\n"s, "Transfer-Encoding: chunked\r\n"s, ""s}) {
+            ScriptedTarget target([&](AcceptedConnection &connection) {
+                if (connection.readRequest()) {
+                    const std::string chunk = framing.starts_with("Transfer") ? "61a80\r\n" : "";
+                    connection.send(statusLine + framing + field + "\r\n\r\n" + chunk + std::string(400000, 'x'));
+                    connection.readUntilClose();
+                }
+            });
+            ProxyFixture fixture({.targets = {target.address()}, .proxy = acceptUnframed(), .routeFields = singleAttempt});
+            RawCaller caller(fixture.port());
+            BOOST_TEST_CONTEXT(framing << field)
+            {
+                checkUnreadable(caller.request("GET", "/work"));
+            }
+        }
+    }
+}
+
 // Its body is whole before the trailer, but what follows isn't a response any more.
 BOOST_AUTO_TEST_CASE(a_response_with_an_invalid_field_in_its_trailer_is_unreadable)
 {
