Proxy: a response with a transfer coding other than chunked is unreadable

What callers saw: a response with "Transfer-Encoding: gzip", or gzip before the chunks, was passed on without that field and with the coding still on its body. With "chunked, gzip" or an unknown coding, the framing of the chunks was a part of the body, which ended with the connection.

Cause: Beast looks only at the last coding, and the field isn't passed on, as it belongs to the connection.

Fix: the field must be there once at most, and be chunked, or identity, which codes nothing. RFC 9112 lets a server use others only if the client has asked for them, which this proxy never does.

--- a/packages/proxy/src/target_connection.cpp
+++ b/packages/proxy/src/target_connection.cpp
@@ -22,6 +22,16 @@
     return text.find("\r\n ") != std::string_view::npos || text.find("\r\n\t") != std::string_view::npos;
 }
 
+// Transfer codings are removed here, and chunked is the only one that is known.
+bool hasUnknownTransferCoding(const http::response_header<> &header)
+{
+    const auto [begin, end] = header.equal_range(http::field::transfer_encoding);
+    const bool isKnown = std::all_of(begin, end, [](const http::fields::value_type &it) {
+        return beast::iequals(it.value(), "chunked") || beast::iequals(it.value(), "identity");
+    });
+    return !isKnown || std::distance(begin, end) > 1;
+}
+
 } // namespace
 
 TargetConnection::TargetConnection(net::any_io_executor executor, const ConnectionOptions &options)
@@ -148,7 +158,8 @@
         }
         const unsigned status = m_parser->get().result_int();
         // The parser accepts any three digits, such as 000, which no HTTP status begins with.
-        if (status < firstStatus || status > lastStatus || status == switchingProtocolsStatus) {
+        if (status < firstStatus || status > lastStatus || status == switchingProtocolsStatus
+            || hasUnknownTransferCoding(m_parser->get())) {
             co_return ReceiveError::Malformed;
         }
         visit(m_parser->get());
