Web: HttpClient accepts no reply that isn't valid HTTP

What callers saw: pollenspokectl and the product's own object API took replies with status 000, 099, 600, 2000 or 101 as answers. A write was then reported as invalid instead of as of unknown outcome, and `status` printed such a reply's body. Fields with a blank before the colon, continuation lines, and a second Content-Length of another value were accepted as well.

Cause: the parser of cxxtools' client checks none of it, and its result doesn't show it any more.

Evidence: web.broken_replies with the client before: 9 of 13 invalid statuses and 7 of 32 replies with invalid fields were answered. The other invalid fields, cut replies and replies without length were refused already.

Fix: HttpClient reads with Boost.Beast and a status must be 200 to 599. A reply still has to tell its length; a connection is still used once and nothing is sent again. The cases about cxxtools' own client stay as a record of why it isn't used.

--- a/packages/web/include/pollenspoke/web.h
+++ b/packages/web/include/pollenspoke/web.h
@@ -1,5 +1,6 @@
 /// @file
-/// JSON on top of Boost.JSON, and plain HTTP on top of cxxtools, whose headers do not compile as C++20.
+/// JSON on top of Boost.JSON, an HTTP client on top of Boost.Beast, and an HTTP server on top of cxxtools, whose headers do not compile as
+/// C++20.
 ///
 /// Index of this file:
 /// - [1] JSON         (JsonValue, parseJsonText(), formatJsonText())
@@ -129,7 +130,7 @@
     std::string problem; // error message for humans
 };
 
-/// Opens a new connection for each request, since cxxtools resends a request by itself if a keep-alive connection closes.
+/// Opens a new connection for each request. Accepts a response only if it is valid HTTP and tells its length.
 class HttpClient
 {
 public:
