--- a/packages/proxy/tests/test_status_lines.cpp
+++ b/packages/proxy/tests/test_status_lines.cpp
@@ -88,6 +88,33 @@
     }
 }
 
+// The parser sees the head in two pieces, whatever the place of the cut.
+BOOST_AUTO_TEST_CASE(an_invalid_status_that_arrives_in_pieces_is_unreadable)
+{
+    for (const std::string &status : invalidStatuses) {
+        const std::string answer = "HTTP/1.1 " + status + "\r\n" + framing + "1\r\n\r\nwrong";
+        std::atomic<std::size_t> cut = 1;
+        ScriptedTarget target([&answer, &cut](AcceptedConnection &connection) {
+            if (connection.readRequest()) {
+                connection.send(answer.substr(0, cut));
+                std::this_thread::sleep_for(2ms);
+                connection.send(answer.substr(cut));
+                connection.readUntilClose();
+            }
+        });
+        ProxyFixture fixture(
+            {.targets = {target.address()}, .proxy = withoutTargetPauses(), .routeFields = ", deadline_ms: 3000, max_attempts: 1"});
+        RawCaller caller(fixture.port());
+        const std::size_t end = answer.find("\r\n") + 2;
+        for (; cut <= end; ++cut) {
+            BOOST_TEST_CONTEXT("cut at " << cut << ": " << status)
+            {
+                checkUnreadable(caller.request("GET", "/work"));
+            }
+        }
+    }
+}
+
 // A long response is passed on as it arrives, so its status can't be taken back.
 BOOST_AUTO_TEST_CASE(a_streamed_response_with_an_invalid_status_is_not_begun)
 {
