--- a/packages/proxy/tests/test_field_names.cpp
+++ b/packages/proxy/tests/test_field_names.cpp
@@ -1,4 +1,4 @@
-// Header fields that are none: a blank or a control byte in a name or value, or no name at all. No caller may get such a response.
+// Invalid header fields: a blank or a control byte in the name, a control byte in the value, or no name. Such a response is refused.
 #include "front_fixture.h"
 
 #include <boost/test/unit_test.hpp>
@@ -49,7 +49,7 @@
     return "Pollenspoke-Request-Id: " + request.header("Pollenspoke-Request-Id") + "\r\n";
 }
 
-// A response with the field before and after valid ones.
+// Responses with the field first and last in the head, and in an informational response before a valid one.
 std::vector<std::string> makeResponses(const std::string &field, const std::string &validFields, const std::string &body)
 {
     const std::string length = "Content-Length: " + std::to_string(body.size()) + "\r\n";
@@ -184,7 +184,7 @@
     }
 }
 
-// Its body is whole before the trailer, but what follows isn't a response any more.
+// The body is complete before the trailer, but the message as a whole is malformed.
 BOOST_AUTO_TEST_CASE(a_response_with_an_invalid_field_in_its_trailer_is_unreadable)
 {
     for (const std::string &field : invalidFields) {
--- a/packages/proxy/tests/test_reset_answers.cpp
+++ b/packages/proxy/tests/test_reset_answers.cpp
@@ -1,4 +1,4 @@
-// Answers that a target begins before it has read the request, and then ends by a reset or by an orderly close.
+// Responses that begin before the target has read the whole request, and end with a reset or an orderly close.
 #include "front_fixture.h"
 
 #include <boost/test/unit_test.hpp>
@@ -135,7 +135,7 @@
     BOOST_TEST(broken.connectionsWithBytes() >= 1U);
 }
 
-// An attempt that is overdue is replaced by another one: at a second target, or on a new connection to the only one.
+// An overdue attempt is replaced by one at a second target, or on a new connection if there is only one target.
 BOOST_AUTO_TEST_CASE(an_unframed_answer_to_a_replacement_that_is_reset_is_incomplete)
 {
     for (const bool hasSecondTarget : {true, false}) {
--- a/packages/web/include/pollenspoke/web.h
+++ b/packages/web/include/pollenspoke/web.h
@@ -1,6 +1,6 @@
 /// @file
-/// JSON on top of Boost.JSON, an HTTP client on top of Boost.Beast, and an HTTP server on top of cxxtools, whose headers do not compile as
-/// C++20.
+/// JSON on top of Boost.JSON, an HTTP client on top of Boost.Beast, and an HTTP server on top of cxxtools.
+/// The headers of cxxtools do not compile as C++20, so no public header includes them.
 ///
 /// Index of this file:
 /// - [1] JSON         (JsonValue, parseJsonText(), formatJsonText())
--- a/packages/web/src/http_client.cpp
+++ b/packages/web/src/http_client.cpp
@@ -85,7 +85,7 @@
     parser.body_limit(maxReplyBytes);
     const bool isHead = request.method == "HEAD";
     parser.skip(isHead);
-    // A server may reply before it has read the whole request, so a failed send doesn't end the exchange.
+    // Receive even if sending failed: the server may have replied and closed before it read the whole request.
     const SystemError receiveError = run(context, [&](auto handler) { http::async_read(stream, buffer, parser, handler); });
     if (receiveError) {
         exchange.problem = sendError ? "sending: " + sendError.message() : "receiving: " + receiveError.message();
